Serve searches and actions end to end over separate processes

Run: python -m unittest tests.test_path, 6 tests passed; the range, top, nearest and groups searches equal the answers computed from the records.

--- /dev/null
+++ b/packages/core/src/bronzefold/core/events.py
@@ -0,0 +1,122 @@
+"""Numbered log events; docs/events.md is their catalogue."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen
+class Event:
+  """A kind of log line.
+
+  Attributes:
+    number: Number in the catalogue.
+    name: Short name.
+    level: Level of the ``logging`` module.
+    meaning: What it means, for the catalogue.
+  """
+
+  number: int
+  name: str
+  level: int
+  meaning: str
+
+  def log(self, logger: logging.Logger, **fields: Any) -> None:
+    """Writes a line as one JSON object.
+
+    Args:
+      logger: The module's logger.
+      **fields: Details of this occurrence.
+    """
+    if not logger.isEnabledFor(self.level):
+      return
+    line = {"event": self.number, "name": self.name, **fields}
+    logger.log(self.level, "%s", json.dumps(line, default=str))
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def _register(number: int, name: str, level: int, meaning: str) -> Event:
+  assert number not in CATALOGUE, number
+  event = Event(number, name, level, meaning)
+  CATALOGUE[number] = event
+  return event
+
+
+NODE_STARTED = _register(
+  100, "node_started", logging.INFO, "The node's process has started."
+)
+NODE_SERVING = _register(
+  101, "node_serving", logging.INFO, "The node serves callers."
+)
+NODE_LEAVING = _register(
+  102, "node_leaving", logging.INFO, "A graceful stop has begun."
+)
+NODE_STOPPED = _register(
+  103, "node_stopped", logging.INFO, "The node's process ends."
+)
+STOP_CUT = _register(
+  104,
+  "stop_cut",
+  logging.ERROR,
+  "The limit of a graceful stop passed with requests in progress.",
+)
+TASK_FAILED = _register(
+  105, "task_failed", logging.ERROR, "A background task failed."
+)
+PLATFORM_LOST = _register(
+  200, "platform_lost", logging.WARNING, "The platform does not answer."
+)
+PLATFORM_FOUND = _register(
+  201, "platform_found", logging.INFO, "The platform answers again."
+)
+LEASE_LAPSED = _register(
+  202, "lease_lapsed", logging.WARNING, "The node's lease has lapsed."
+)
+CONFIG_APPLIED = _register(
+  210, "config_applied", logging.INFO, "A change is in force on this node."
+)
+CONFIG_REFUSED = _register(
+  211,
+  "config_refused",
+  logging.ERROR,
+  "A key on the platform holds an invalid value; the old one stays.",
+)
+CONTACT_CHANGED = _register(
+  220,
+  "contact_changed",
+  logging.WARNING,
+  "The node's contact with the platform and its peers has changed.",
+)
+FRAME_REFUSED = _register(
+  300, "frame_refused", logging.WARNING, "A frame did not come from a node."
+)
+UPSTREAM_CLAIMED = _register(
+  400, "upstream_claimed", logging.INFO, "The node now owns an upstream."
+)
+UPSTREAM_RELEASED = _register(
+  401, "upstream_released", logging.INFO, "The node gave up an upstream."
+)
+UPSTREAM_CHANGED = _register(
+  402, "upstream_changed", logging.INFO, "An owned upstream changed state."
+)
+ROLLOUT_CHANGED = _register(
+  500, "rollout_changed", logging.INFO, "The move of a version changed state."
+)
+VERSION_SUSPECTED = _register(
+  501,
+  "version_suspected",
+  logging.WARNING,
+  "The node stopped sending traffic to a faulty version.",
+)
+CLAIM_UNRESOLVED = _register(
+  600,
+  "claim_unresolved",
+  logging.ERROR,
+  "An action has an unknown outcome; a person must look.",
+)
--- /dev/null
+++ b/packages/node/src/bronzefold/node/__init__.py
@@ -0,0 +1,5 @@
+"""The node process."""
+
+from bronzefold.node.node import Node
+
+__all__ = ["Node"]
--- /dev/null
+++ b/packages/node/src/bronzefold/node/admission.py
@@ -0,0 +1,73 @@
+"""Admission of requests at the door, before anything is sent."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+
+from bronzefold.core import exceptions
+
+
+class Admission:
+  """Counts the requests in progress on this node and refuses excess ones.
+
+  Searches and actions have limits of their own, so that searches never take
+  the place of an action.
+
+  Attributes:
+    searches: Searches in progress.
+    actions: Actions in progress.
+    refused: Count of the requests refused so far.
+  """
+
+  def __init__(self, max_searches: int, max_actions: int) -> None:
+    """Creates an admission without requests in progress.
+
+    Args:
+      max_searches: Searches that may be in progress at once.
+      max_actions: Actions that may be in progress at once.
+    """
+    self._max_searches = max_searches
+    self._max_actions = max_actions
+    self.searches = 0
+    self.actions = 0
+    self.refused = 0
+
+  @property
+  def in_progress(self) -> int:
+    """Count of all requests in progress."""
+    return self.searches + self.actions
+
+  @contextlib.contextmanager
+  def admit_search(self) -> Iterator[None]:
+    """Admits a search for the duration of a block.
+
+    Raises:
+      OverloadedError: Too many searches are in progress.
+    """
+    if self.searches >= self._max_searches:
+      self._refuse(f"{self.searches} searches in progress")
+    self.searches += 1
+    try:
+      yield
+    finally:
+      self.searches -= 1
+
+  @contextlib.contextmanager
+  def admit_action(self) -> Iterator[None]:
+    """Admits an action for the duration of a block.
+
+    Raises:
+      OverloadedError: Too many actions are in progress.
+    """
+    if self.actions >= self._max_actions:
+      self._refuse(f"{self.actions} actions in progress")
+    self.actions += 1
+    try:
+      yield
+    finally:
+      self.actions -= 1
+
+  def _refuse(self, detail: str) -> None:
+    self.refused += 1
+    raise exceptions.OverloadedError(detail)
--- /dev/null
+++ b/packages/node/src/bronzefold/node/main.py
@@ -0,0 +1,78 @@
+"""Command ``bronzefold``: runs one node."""
+
+from __future__ import annotations
+
+import logging
+import pathlib
+import signal
+import sys
+
+from absl import app
+from absl import flags
+import anyio
+
+from bronzefold.core import exceptions
+from bronzefold.core import settings
+from bronzefold.node import node
+
+_EXIT_BAD_SETTINGS = 2
+
+_SETTINGS = flags.DEFINE_string(
+  "settings", None, "File with the node's settings, JSON with comments."
+)
+_LOG_LEVEL = flags.DEFINE_enum(
+  "log_level", "info", ["debug", "info", "warning", "error"], "Lowest level."
+)
+_CHECK = flags.DEFINE_bool(
+  "check", False, "Check the settings and exit without running."
+)
+
+
+async def _run_until_signal(created: node.Node) -> None:
+  async with anyio.create_task_group() as tasks:
+    tasks.start_soon(_stop_on_signal, created)
+    await created.run()
+    tasks.cancel_scope.cancel()
+
+
+async def _stop_on_signal(created: node.Node) -> None:
+  with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+    async for _ in received:
+      created.stop()
+
+
+def _configure_logs() -> None:
+  logging.basicConfig(
+    stream=sys.stderr,
+    level=_LOG_LEVEL.value.upper(),
+    format="%(asctime)s %(levelname)s %(name)s %(message)s",
+    force=True,
+  )
+
+
+def main(_: list[str]) -> int:
+  """Runs a node until it is stopped.
+
+  Returns:
+    The exit code: 0 after a graceful stop, 2 for invalid settings.
+  """
+  _configure_logs()
+  try:
+    created_from = settings.load_settings(pathlib.Path(_SETTINGS.value))
+    if _CHECK.value:
+      return 0
+    anyio.run(_make_and_run, created_from, backend_options={"use_uvloop": True})
+  except exceptions.SettingsError as error:
+    print(error.detail, file=sys.stderr)
+    return _EXIT_BAD_SETTINGS
+  return 0
+
+
+async def _make_and_run(created_from: settings.Settings) -> None:
+  await _run_until_signal(node.Node(created_from))
+
+
+def run() -> None:
+  """Entry point of the command."""
+  flags.mark_flag_as_required("settings")
+  app.run(main)
--- /dev/null
+++ b/packages/node/src/bronzefold/node/node.py
@@ -0,0 +1,454 @@
+"""The node: the object that joins all parts."""
+
+from __future__ import annotations
+
+import functools
+import logging
+import random
+from typing import Any
+
+import anyio
+from anyio import abc
+import msgspec
+
+from bronzefold import callers
+from bronzefold import peers
+from bronzefold import platform
+from bronzefold.core import clock
+from bronzefold.core import defaults
+from bronzefold.core import documents
+from bronzefold.core import events
+from bronzefold.core import exceptions
+from bronzefold.core import ranges
+from bronzefold.core import settings
+from bronzefold.node import actions
+from bronzefold.node import admission
+from bronzefold.node import claims
+from bronzefold.node import configuration
+from bronzefold.node import directory
+from bronzefold.node import dispatch
+from bronzefold.node import gossip
+from bronzefold.node import leadership
+from bronzefold.node import merges
+from bronzefold.node import metrics
+from bronzefold.node import ownership
+from bronzefold.node import routing
+from bronzefold.node import search
+from bronzefold.node import selection
+from bronzefold.node import session
+from bronzefold.node import status
+from bronzefold.node import supervision
+from bronzefold.node import versions
+from bronzefold.peers import membership
+
+_OWNERSHIP_PERIOD_S = 0.1
+_CLAIM_CLEANUP_PERIOD_S = 5.0
+_STOP_POLL_S = 0.05
+
+_logger = logging.getLogger(__name__)
+
+
+class Node:
+  """One node of the fleet.
+
+  Attributes:
+    max_body_bytes: Largest body of a request.
+    config: The configuration in force.
+    members: The nodes of the fleet.
+    known: Reports of all upstreams.
+  """
+
+  def __init__(self, own: settings.Settings) -> None:
+    """Creates a node; ``run`` runs it.
+
+    Args:
+      own: Its settings.
+
+    Raises:
+      SettingsError: The settings name an unknown routing policy.
+    """
+    policy = routing.get_policy(own.routing_policy)
+    if policy is None:
+      raise exceptions.SettingsError(
+        f"$.routing_policy: {own.routing_policy!r} is not one of "
+        + ", ".join(routing.list_policies())
+      )
+    self._own = own
+    self.max_body_bytes = own.max_body_bytes
+    self._tasks: abc.TaskGroup | None = None
+    self._stopping = anyio.Event()
+    self._metrics = metrics.Metrics()
+    self._admission = admission.Admission(own.max_searches, own.max_searches)
+    self.config = configuration.Configuration()
+    self.known = directory.Directory()
+    self.members = membership.Membership(
+      membership.Member(
+        own.node,
+        own.zone,
+        membership.STARTING,
+        own.caller_address,
+        own.peer_address,
+      ),
+      own.freshness_limit_s,
+    )
+    self._join_parts(policy)
+
+  def _join_parts(self, policy: routing.Policy) -> None:
+    own = self._own
+    generator = random.Random(own.node)
+    self._client = platform.PlatformClient(own.platform_addresses)
+    self._session = session.PlatformSession(
+      own, self._client, self.config, self.members
+    )
+    codec = peers.FrameCodec(own.fleet, own.secret, own.node)
+    self._network = peers.PeerNetwork(
+      codec, own.peer_address, self._handle_message
+    )
+    self._traffic = versions.VersionTraffic(self.config, self._on_suspicion)
+    self._selector = selection.Selector(
+      self.config, self.known, self.members, self._traffic.is_suspected
+    )
+    self._ownership = ownership.Ownership(
+      own,
+      self._client,
+      self._session,
+      self.config,
+      self.known,
+      self.members,
+      self._selector,
+      self._publish_report,
+      self._publish_manifest,
+    )
+    self._dispatcher = dispatch.Dispatcher(
+      own.node, self.known, self._network, self._ownership
+    )
+    self._searcher = search.Searcher(
+      self._selector,
+      self.known,
+      self._dispatcher,
+      self._traffic,
+      policy,
+      generator,
+    )
+    self._claims = claims.Claims(self._client)
+    self._runner = actions.ActionRunner(
+      self._selector,
+      self._dispatcher,
+      self._traffic,
+      self._claims,
+      policy,
+      generator,
+    )
+    self._gossip = gossip.Gossip(
+      own,
+      self.config,
+      self.known,
+      self.members,
+      self._network,
+      self._traffic,
+      self._dispatcher,
+    )
+    self._leadership = leadership.Leadership(
+      own,
+      self._client,
+      self._session,
+      self.config,
+      self._traffic,
+      self._network,
+    )
+
+  @property
+  def closing_connections(self) -> bool:
+    """True while the node is leaving."""
+    return self.members.own.state == membership.LEAVING
+
+  async def run(self) -> None:
+    """Runs the node until ``stop`` was called and everything has ended."""
+    events.NODE_STARTED.log(_logger, node=self._own.node, zone=self._own.zone)
+    server = callers.make_server(
+      callers.make_application(self), self._own.caller_address
+    )
+    try:
+      async with anyio.create_task_group() as tasks:
+        self._tasks = tasks
+        self._start_background(tasks)
+        tasks.start_soon(server.serve)
+        await self._stopping.wait()
+        await self._leave(tasks)
+        server.finish()
+        await self._drain()
+        await anyio.sleep(_STOP_POLL_S)
+        await self._session.leave()
+        tasks.cancel_scope.cancel()
+    finally:
+      with anyio.CancelScope(shield=True):
+        await self._client.close()
+    events.NODE_STOPPED.log(_logger, node=self._own.node)
+
+  def stop(self) -> None:
+    """Begins a graceful stop."""
+    self._stopping.set()
+
+  def _start_background(self, tasks: abc.TaskGroup) -> None:
+    tasks.start_soon(self._network.run, tasks)
+    for work in (
+      self._session.run_lease,
+      self._session.run_watch,
+      self._session.run_vm_list,
+      self._gossip.run,
+      self._leadership.run,
+      self._run_ownership,
+      self._run_claim_cleanup,
+    ):
+      tasks.start_soon(supervision.supervise, work)
+
+  async def _leave(self, tasks: abc.TaskGroup) -> None:
+    """Leaves the address answers and gives up all upstreams."""
+    self.members.set_state(membership.LEAVING)
+    events.NODE_LEAVING.log(_logger, node=self._own.node)
+    self._gossip.send_heartbeats()
+    await anyio.sleep(self._own.linger_s)
+    await self._ownership.release_all(tasks)
+
+  async def _drain(self) -> None:
+    """Waits until nothing is in progress, up to the limit."""
+    with anyio.move_on_after(self._own.stop_limit_s - self._own.linger_s):
+      while self._count_in_progress():
+        await anyio.sleep(_STOP_POLL_S)
+    left = self._count_in_progress()
+    if left:
+      events.STOP_CUT.log(_logger, node=self._own.node, requests=left)
+
+  def _count_in_progress(self) -> int:
+    held = sum(h.get_queued() for h in self._ownership.list_holders())
+    return self._admission.in_progress + held
+
+  async def _run_ownership(self) -> None:
+    while True:
+      now = clock.read_monotonic()
+      self._become_ready(now)
+      self._selector.set_leaving_addresses(self._session.leaving_vms)
+      if not self._stopping.is_set():
+        self._ownership.adopt_claims(self._tasks)
+        await self._ownership.run_once(self._tasks, now)
+      await anyio.sleep(_OWNERSHIP_PERIOD_S)
+
+  def _become_ready(self, now: clock.Seconds) -> None:
+    if self.members.own.state != membership.STARTING:
+      return
+    if self.config.revision > 0:
+      self.members.set_state(membership.SERVING)
+      events.NODE_SERVING.log(_logger, node=self._own.node)
+
+  async def _run_claim_cleanup(self) -> None:
+    while True:
+      await self._claims.release_abandoned()
+      await anyio.sleep(_CLAIM_CLEANUP_PERIOD_S)
+
+  async def _handle_message(self, sender: str, message: Any) -> None:
+    handle = functools.partial(self._gossip.handle, sender, message)
+    await supervision.run_guarded(handle)
+
+  def _publish_report(self, report: peers.UpstreamReport) -> None:
+    self._gossip.publish(report)
+
+  def _publish_manifest(self, service: str, manifest: ranges.Manifest) -> None:
+    if self.known.record_manifest(service, manifest):
+      self._gossip.publish(peers.ManifestReport(service, manifest))
+
+  def _on_suspicion(self, move: versions.Move, reason: str) -> None:
+    events.VERSION_SUSPECTED.log(
+      _logger, service=move.service, version=move.version, reason=reason
+    )
+    self._gossip.publish(
+      peers.Suspicion(move.service, move.version, move.start, move.by, reason)
+    )
+
+  async def search(
+    self, request: str, service: str, route: str, body: callers.SearchBody
+  ) -> callers.SearchReply:
+    """Runs a search for a caller; see ``callers.Service``."""
+    document = self._find_route(service, route, "search")
+    started = clock.read_monotonic()
+    wanted = search.SearchRequest(
+      request=request,
+      document=document,
+      route=route,
+      query=bytes(body.query),
+      options=_read_options(body.query),
+      deadline=_find_deadline(document, body.deadline_ms, started),
+      complete=body.complete,
+    )
+    outcome = "cancelled"
+    try:
+      with self._admission.admit_search():
+        result = await self._searcher.search(wanted)
+      outcome = result.error.code if result.is_error() else "ok"
+    except exceptions.OverloadedError as error:
+      outcome = error.code
+      raise
+    finally:
+      took_s = clock.read_monotonic() - started
+      self._metrics.record_request(service, route, outcome, took_s)
+    if result.is_error():
+      raise result.error
+    coverage = result.ok.coverage
+    share = coverage.covered / max(1, coverage.total or 1)
+    self._metrics.record_coverage(service, share)
+    return _make_search_reply(result.ok)
+
+  async def act(
+    self,
+    request: str,
+    service: str,
+    route: str,
+    key: str,
+    body: bytes,
+    deadline_ms: int | None,
+  ) -> tuple[int, callers.ActionReply]:
+    """Runs an action for a caller; see ``callers.Service``."""
+    document = self._find_route(service, route, "action")
+    started = clock.read_monotonic()
+    wanted = actions.ActionRequest(
+      request=request,
+      document=document,
+      route=route,
+      key=key,
+      body=body,
+      deadline=_find_deadline(document, deadline_ms, started),
+    )
+    with self._admission.admit_action():
+      result = await self._runner.run(wanted)
+    took_s = clock.read_monotonic() - started
+    outcome = result.error.code if result.is_error() else "ok"
+    self._metrics.record_request(service, route, outcome, took_s)
+    if result.is_error():
+      raise result.error
+    answer = result.ok
+    reply = callers.ActionReply(
+      request=answer.request,
+      outcome="ran",
+      repeated=answer.repeated,
+      result=msgspec.Raw(answer.result),
+    )
+    return answer.status, reply
+
+  def list_addresses(self, zone: str) -> callers.AddressesReply:
+    """Lists the nodes that callers may use; see ``callers.Service``."""
+    serving = self.members.list_serving(clock.read_monotonic())
+    ordered = sorted(serving, key=lambda member: member.zone != zone)
+    return callers.AddressesReply(
+      addresses=tuple(
+        callers.Address(member.caller_address, member.zone)
+        for member in ordered
+      ),
+      keep_s=self._own.addresses_keep_s,
+    )
+
+  def describe_status(self) -> status.NodeStatus:
+    """Returns the node's status."""
+    now = clock.read_monotonic()
+    keys = platform.keys
+    alive = [
+      member.node
+      for member in self.members.list_others()
+      if self.members.is_alive(member.node, now)
+    ]
+    return status.NodeStatus(
+      node=self._own.node,
+      zone=self._own.zone,
+      state=self.members.own.state,
+      contact=self.members.assess_contact(now).value,
+      config_revision=self.config.revision,
+      documents={
+        name: self.config.get_revision(keys.DOCUMENT_PREFIX + name)
+        for name in self.config.documents
+      },
+      zones={
+        name: self.config.get_revision(keys.ZONE_PREFIX + name)
+        for name in self.config.zones
+      },
+      leader=self.config.leader.node if self.config.leader else "",
+      peers=tuple(alive),
+      searches=self._admission.searches,
+      actions=self._admission.actions,
+      refused=self._admission.refused,
+      control_bytes_sent=self._network.control_bytes_sent,
+      platform_calls=self._client.calls,
+      upstreams=tuple(self._ownership.describe()),
+      moves=tuple(self._traffic.describe()),
+    )
+
+  def render_metrics(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+    """Returns the metrics; see ``callers.Service``."""
+    current = self.describe_status()
+    for name in ("searches", "actions", "refused", "platform_calls"):
+      self._metrics.set_state(name, getattr(current, name))
+    self._metrics.set_state("control_bytes_sent", current.control_bytes_sent)
+    self._metrics.set_state("config_revision", current.config_revision)
+    self._metrics.set_state("upstreams_owned", len(current.upstreams))
+    return self._metrics.render(accept)
+
+  def _find_route(
+    self, service: str, route: str, kind: str
+  ) -> documents.Document:
+    self._check_ready()
+    document = self.config.documents.get(service)
+    if document is None:
+      raise exceptions.UnknownServiceError(f"service {service!r}")
+    found = document.routes.get(route)
+    if found is None or found.kind != kind:
+      raise exceptions.UnknownRouteError(f"{kind} route {route!r}")
+    return document
+
+  def _check_ready(self) -> None:
+    if self.members.own.state == membership.STARTING:
+      raise exceptions.NotReadyError("no configuration has been read")
+    contact = self.members.assess_contact(clock.read_monotonic())
+    if contact is membership.Contact.ISOLATED:
+      raise exceptions.NotReadyError("cut off from the platform and peers")
+
+
+def _find_deadline(
+  document: documents.Document,
+  deadline_ms: int | None,
+  now: clock.Seconds,
+) -> clock.Seconds:
+  wanted_ms = (
+    document.limits.deadline_ms if deadline_ms is None else deadline_ms
+  )
+  if not 1 <= wanted_ms <= defaults.MAX_DEADLINE_MS:
+    raise exceptions.BadRequestError(
+      f"deadline_ms must be between 1 and {defaults.MAX_DEADLINE_MS}"
+    )
+  return now + wanted_ms / 1e3
+
+
+def _read_options(query: msgspec.Raw) -> merges.MergeOptions:
+  try:
+    options = msgspec.json.decode(query, type=merges.MergeOptions)
+  except msgspec.MsgspecError as error:
+    raise exceptions.BadRequestError(f"query: {error}") from error
+  if not 1 <= options.limit <= merges.MAX_LIMIT:
+    raise exceptions.BadRequestError(
+      f"query.limit must be between 1 and {merges.MAX_LIMIT}"
+    )
+  return options
+
+
+def _make_search_reply(answer: search.SearchAnswer) -> callers.SearchReply:
+  coverage = answer.coverage
+  return callers.SearchReply(
+    request=answer.request,
+    snapshot=answer.snapshot,
+    taken_at=answer.taken_at,
+    complete=coverage.complete,
+    coverage=callers.CoverageBody(
+      covered=coverage.covered,
+      total=coverage.total,
+      missing=tuple((r.low, r.high) for r in coverage.missing),
+    ),
+    hedges=answer.hedges,
+    retries=answer.retries,
+    result=msgspec.Raw(msgspec.json.encode(answer.result)),
+  )
--- /dev/null
+++ b/packages/node/src/bronzefold/node/session.py
@@ -0,0 +1,162 @@
+"""This node's session with the platform: lease, registration and watch."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+import attrs
+import msgspec
+
+from bronzefold import platform
+from bronzefold.core import clock
+from bronzefold.core import defaults
+from bronzefold.core import events
+from bronzefold.core import exceptions
+from bronzefold.core import settings
+from bronzefold.node import configuration
+from bronzefold.peers import membership
+from bronzefold.platform import keys
+
+_VM_LIST_PERIOD_S = 1.0
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class HeldLease:
+  """The lease of this node.
+
+  Attributes:
+    lease: Number of the lease.
+    valid_until: Monotonic time until which it surely has not lapsed.
+  """
+
+  lease: int
+  valid_until: clock.Seconds
+
+
+class PlatformSession:
+  """Keeps this node's lease and registration, and follows the changes."""
+
+  def __init__(
+    self,
+    own: settings.Settings,
+    client: platform.PlatformClient,
+    config: configuration.Configuration,
+    members: membership.Membership,
+  ) -> None:
+    """Creates a session; its ``run_`` methods are tasks of the node.
+
+    Args:
+      own: Settings of this node.
+      client: The platform.
+      config: The configuration, to which changes are applied.
+      members: The nodes.
+    """
+    self._own = own
+    self._client = client
+    self._config = config
+    self._members = members
+    self._lease: HeldLease | None = None
+    self._registered_state = ""
+    self._reachable = True
+    self.leaving_vms: frozenset[str] = frozenset()
+
+  def get_lease(self, now: clock.Seconds) -> HeldLease | None:
+    """Returns the lease, None unless it surely has not lapsed."""
+    lease = self._lease
+    if lease is None or now >= lease.valid_until:
+      return None
+    return lease
+
+  async def run_lease(self) -> None:
+    """Renews the lease and the registration until cancelled."""
+    while True:
+      try:
+        await self._renew()
+        await self._register()
+        self._note_reachable()
+      except exceptions.LeaseLapsedError:
+        events.LEASE_LAPSED.log(_logger, node=self._own.node)
+        self._lease = None
+        continue
+      except exceptions.PlatformError as error:
+        self._note_unreachable(error)
+      await anyio.sleep(self._own.lease_renewal_s)
+
+  async def run_watch(self) -> None:
+    """Applies changes of the shared keys until cancelled."""
+    while True:
+      try:
+        if self._config.revision == 0:
+          listing = await self._client.list_prefix(keys.SHARED_PREFIX)
+          self._config.apply_listing(listing)
+        listing = await self._client.watch(
+          keys.SHARED_PREFIX, self._config.revision, defaults.WATCH_WAIT_S
+        )
+        self._config.apply_changes(listing.entries, listing.revision)
+        self._note_reachable()
+      except exceptions.PlatformError as error:
+        self._note_unreachable(error)
+        await anyio.sleep(defaults.PLATFORM_RETRY_S)
+
+  async def run_vm_list(self) -> None:
+    """Follows the platform's list of VMs until cancelled."""
+    while True:
+      try:
+        listing = await self._client.list_vms()
+        self.leaving_vms = frozenset(
+          vm.address for vm in listing.vms if vm.state == "leaving"
+        )
+      except exceptions.PlatformError as error:
+        self._note_unreachable(error)
+      await anyio.sleep(_VM_LIST_PERIOD_S)
+
+  async def leave(self) -> None:
+    """Ends the lease, and with it the registration and all claims."""
+    lease, self._lease = self._lease, None
+    if lease is None:
+      return
+    try:
+      await self._client.revoke_lease(lease.lease)
+    except exceptions.PlatformError as error:
+      self._note_unreachable(error)
+
+  async def _renew(self) -> None:
+    # Counted from before the call: the platform counts from later.
+    started = clock.read_monotonic()
+    if self._lease is None:
+      created = await self._client.create_lease(self._own.lease_ttl_s)
+      number = created.lease
+      self._registered_state = ""
+    else:
+      number = self._lease.lease
+      await self._client.renew_lease(number)
+    valid_s = self._own.lease_ttl_s - defaults.OWNERSHIP_MARGIN_S
+    self._lease = HeldLease(number, started + valid_s)
+
+  async def _register(self) -> None:
+    own = self._members.own
+    if self._registered_state == own.state:
+      return
+    record = configuration.NodeRecord(
+      own.node, own.zone, own.state, own.caller_address, own.peer_address
+    )
+    key = keys.NODE_PREFIX + own.node
+    value = msgspec.json.encode(record).decode()
+    current = await self._client.get(key)
+    expected = current.revision if current else 0
+    await self._client.put(key, value, expected, self._lease.lease)
+    self._registered_state = own.state
+
+  def _note_reachable(self) -> None:
+    self._members.record_platform(clock.read_monotonic())
+    if not self._reachable:
+      self._reachable = True
+      events.PLATFORM_FOUND.log(_logger)
+
+  def _note_unreachable(self, error: exceptions.PlatformError) -> None:
+    if self._reachable:
+      self._reachable = False
+      events.PLATFORM_LOST.log(_logger, reason=error.detail)
--- /dev/null
+++ b/packages/operators/src/bronzefold/operators/__init__.py
@@ -0,0 +1,7 @@
+"""The operators' command line."""
+
+from bronzefold.operators.commands import COMMANDS
+from bronzefold.operators.commands import Context
+from bronzefold.operators.commands import Exit
+
+__all__ = ["COMMANDS", "Context", "Exit"]
--- /dev/null
+++ b/packages/operators/src/bronzefold/operators/main.py
@@ -0,0 +1,85 @@
+"""Command ``bronzefoldctl``: the operators' command line."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import getpass
+import sys
+
+from absl import app
+from absl import flags
+import anyio
+
+from bronzefold import platform
+from bronzefold.core import exceptions
+from bronzefold.operators import commands
+
+_PLATFORM = flags.DEFINE_list(
+  "platform", [], "IP:port of the platform's servers, with commas between."
+)
+_AUTHOR = flags.DEFINE_string(
+  "author", None, "Who makes the change; the login name by default."
+)
+_REVISION = flags.DEFINE_integer(
+  "revision", None, "Revision that the change is based on."
+)
+_TIMEOUT_S = flags.DEFINE_float(
+  "timeout_s", 13.0, "Longest wait for a change to be in force."
+)
+_OUTPUT = flags.DEFINE_string("output", None, "File to write to.")
+
+
+def make_usage() -> str:
+  """Returns a line for each command."""
+  lines = [
+    f"  {name} {entry.usage}".ljust(28) + entry.summary
+    for name, entry in commands.COMMANDS.items()
+  ]
+  return "bronzefoldctl --platform=IP:PORT COMMAND ...\n" + "\n".join(lines)
+
+
+async def _run_command(name: str, arguments: Sequence[str]) -> int:
+  client = platform.PlatformClient(_PLATFORM.value)
+  context = commands.Context(
+    client=client,
+    author=_AUTHOR.value or getpass.getuser(),
+    revision=_REVISION.value,
+    timeout_s=_TIMEOUT_S.value,
+    output=_OUTPUT.value,
+    write=lambda line: print(line, flush=True),
+  )
+  try:
+    return await commands.COMMANDS[name].run(context, arguments)
+  except exceptions.DocumentError as error:
+    print(error.detail, file=sys.stderr)
+    return commands.Exit.INVALID
+  except exceptions.PlatformError as error:
+    print(f"platform: {error.detail}", file=sys.stderr)
+    return commands.Exit.FAILED
+  finally:
+    await client.close()
+
+
+def main(argv: list[str]) -> int:
+  """Runs a command.
+
+  Args:
+    argv: The program's name, the command and its arguments.
+
+  Returns:
+    The exit code; see ``commands.Exit``.
+  """
+  name, arguments = (argv[1] if len(argv) > 1 else ""), argv[2:]
+  entry = commands.COMMANDS.get(name)
+  if entry is None or len(arguments) != entry.arity:
+    print(make_usage(), file=sys.stderr)
+    return commands.Exit.INVALID
+  if not _PLATFORM.value and name != "check":
+    print("--platform is missing", file=sys.stderr)
+    return commands.Exit.INVALID
+  return anyio.run(_run_command, name, arguments)
+
+
+def run() -> None:
+  """Entry point of the command."""
+  app.run(main)
--- /dev/null
+++ b/packages/peers/src/bronzefold/peers/membership.py
@@ -0,0 +1,190 @@
+"""Which nodes there are, and what contact this one has with the rest."""
+
+from __future__ import annotations
+
+import enum
+from typing import Self
+
+import attrs
+
+from bronzefold.core import defaults
+from bronzefold.core.clock import Seconds
+from bronzefold.peers import messages
+
+STARTING = "starting"
+SERVING = "serving"
+LEAVING = "leaving"
+
+_FULL_MESH_NODES = 16
+
+
+class Contact(enum.Enum):
+  """How current this node's knowledge can be.
+
+  Members:
+    CURRENT: The platform was reached, directly or by way of a peer.
+    OUTAGE_SEEN_BY_ALL: Every node is heard and none reaches the platform.
+    OUTAGE_SEEN_BY_MOST: At least half of the nodes are heard and none of
+      them reaches the platform.
+    ISOLATED: Others may know what this node does not.
+  """
+
+  CURRENT = "current"
+  OUTAGE_SEEN_BY_ALL = "outage_seen_by_all"
+  OUTAGE_SEEN_BY_MOST = "outage_seen_by_most"
+  ISOLATED = "isolated"
+
+
+@attrs.frozen
+class Member:
+  """A node that is registered on the platform or was heard.
+
+  Attributes:
+    node: Name of the node.
+    zone: Its availability zone.
+    state: "starting", "serving" or "leaving".
+    caller_address: IP:port for callers.
+    peer_address: IP:port for nodes.
+  """
+
+  node: str
+  zone: str
+  state: str
+  caller_address: str
+  peer_address: str
+
+  @classmethod
+  def from_heartbeat(cls, heartbeat: messages.Heartbeat) -> Self:
+    """Returns the sender of a heartbeat."""
+    return cls(
+      node=heartbeat.node,
+      zone=heartbeat.zone,
+      state=heartbeat.state,
+      caller_address=heartbeat.caller_address,
+      peer_address=heartbeat.peer_address,
+    )
+
+
+class Membership:
+  """The nodes of the fleet, as far as this one knows.
+
+  Attributes:
+    own: This node.
+  """
+
+  def __init__(self, own: Member, freshness_limit_s: Seconds) -> None:
+    """Creates a membership of this node alone.
+
+    Args:
+      own: This node.
+      freshness_limit_s: Age of the last contact with the platform up to
+        which knowledge counts as current.
+    """
+    self.own = own
+    self._freshness_limit_s = freshness_limit_s
+    self._registered: dict[str, Member] = {}
+    self._heard: dict[str, Member] = {}
+    self._heard_at: dict[str, Seconds] = {}
+    self._platform_at: Seconds | None = None
+    self._own_platform_at: Seconds | None = None
+
+  def set_state(self, state: str) -> None:
+    """Changes the state of this node."""
+    self.own = attrs.evolve(self.own, state=state)
+
+  def register(self, member: Member) -> None:
+    """Takes over a member's entry on the platform."""
+    self._registered[member.node] = member
+
+  def unregister(self, node: str) -> None:
+    """Takes over that a member's entry has vanished."""
+    self._registered.pop(node, None)
+    self._heard.pop(node, None)
+    self._heard_at.pop(node, None)
+
+  def record_platform(self, now: Seconds) -> None:
+    """Takes note that this node reached the platform."""
+    self._own_platform_at = now
+    self._platform_at = now
+
+  def record_heartbeat(
+    self, heartbeat: messages.Heartbeat, now: Seconds
+  ) -> None:
+    """Takes note of a heartbeat."""
+    member = Member.from_heartbeat(heartbeat)
+    self._heard[member.node] = member
+    self._heard_at[member.node] = now
+    if heartbeat.platform_age_s is not None:
+      reached_at = now - heartbeat.platform_age_s
+      self._platform_at = max(self._platform_at or reached_at, reached_at)
+
+  def get_platform_age(self, now: Seconds) -> Seconds | None:
+    """Returns the time since any known node reached the platform."""
+    if self._platform_at is None:
+      return None
+    return now - self._platform_at
+
+  def list_others(self) -> list[Member]:
+    """Lists the other nodes, whether alive or not, by name."""
+    known = self._registered | self._heard
+    known.pop(self.own.node, None)
+    return [known[name] for name in sorted(known)]
+
+  def is_alive(self, node: str, now: Seconds) -> bool:
+    """True when a node was heard a short time ago."""
+    if node == self.own.node:
+      return True
+    heard_at = self._heard_at.get(node)
+    if heard_at is None:
+      return False
+    return now - heard_at < defaults.HEARTBEAT_TIMEOUT_S
+
+  def list_serving(self, now: Seconds) -> list[Member]:
+    """Lists the nodes that are alive and not leaving, this one included."""
+    others = [
+      member
+      for member in self.list_others()
+      if member.state == SERVING and self.is_alive(member.node, now)
+    ]
+    own = [self.own] if self.own.state == SERVING else []
+    return own + others
+
+  def is_partial_mesh(self) -> bool:
+    """True when news reaches some nodes only by way of others."""
+    return len(self.list_others()) >= _FULL_MESH_NODES
+
+  def list_neighbours(self) -> list[Member]:
+    """Lists the nodes that get this one's heartbeats and news.
+
+    A small fleet is a full mesh. In a large one each node has the neighbours
+    at distances 1, 2, 4, ... on a ring, so that news reaches all nodes in a
+    logarithmic count of steps.
+    """
+    others = self.list_others()
+    if not self.is_partial_mesh():
+      return others
+    ring = sorted([*others, self.own], key=lambda member: member.node)
+    position = ring.index(self.own)
+    distances = [1 << bit for bit in range((len(ring) - 1).bit_length())]
+    return [ring[(position + distance) % len(ring)] for distance in distances]
+
+  def assess_contact(self, now: Seconds) -> Contact:
+    """Assesses how current this node's knowledge can be.
+
+    Args:
+      now: The monotonic time.
+
+    Returns:
+      The contact. A node that was paused is isolated until it hears of the
+      platform again.
+    """
+    age_s = self.get_platform_age(now)
+    if age_s is not None and age_s < self._freshness_limit_s:
+      return Contact.CURRENT
+    others = self.list_others()
+    alive = sum(self.is_alive(member.node, now) for member in others)
+    if alive == len(others):
+      return Contact.OUTAGE_SEEN_BY_ALL
+    if 2 * (alive + 1) >= len(others) + 1:
+      return Contact.OUTAGE_SEEN_BY_MOST
+    return Contact.ISOLATED
--- /dev/null
+++ b/packages/platform/src/bronzefold/platform/messages.py
@@ -0,0 +1,65 @@
+"""Messages of the platform's key-value protocol."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Entry:
+  """A key with its value.
+
+  Attributes:
+    key: The key.
+    value: The value; None when the key was deleted.
+    revision: Revision of the platform at the key's last change.
+  """
+
+  key: str
+  value: str | None
+  revision: int
+
+
+@attrs.frozen
+class Listing:
+  """Entries under a prefix.
+
+  Attributes:
+    revision: Revision of the platform at which the listing is true.
+    entries: The entries.
+  """
+
+  revision: int
+  entries: tuple[Entry, ...]
+
+
+@attrs.frozen
+class Lease:
+  """A lease; keys attached to it vanish when it lapses."""
+
+  lease: int
+  ttl_s: float
+
+
+@attrs.frozen
+class VmEntry:
+  """A VM in the platform's lagging list.
+
+  Attributes:
+    vm: Name of the VM.
+    address: Its IP number.
+    zone: Its availability zone.
+    state: "live" or "leaving".
+  """
+
+  vm: str
+  address: str
+  zone: str
+  state: str
+
+
+@attrs.frozen
+class VmList:
+  """The platform's lagging list of VMs."""
+
+  vms: tuple[VmEntry, ...]
--- /dev/null
+++ b/packages/upstreams/src/bronzefold/upstreams/__init__.py
@@ -0,0 +1,31 @@
+"""Connections to upstreams: queue, limits and cold start."""
+
+from bronzefold.upstreams.connection import Exchange
+from bronzefold.upstreams.connection import Reply
+from bronzefold.upstreams.connection import UpstreamConnection
+from bronzefold.upstreams.holder import HolderState
+from bronzefold.upstreams.holder import UpstreamHolder
+from bronzefold.upstreams.messages import SearchBody
+from bronzefold.upstreams.messages import SearchReply
+from bronzefold.upstreams.messages import ShardResult
+from bronzefold.upstreams.messages import SnapshotReport
+from bronzefold.upstreams.messages import StatusReport
+from bronzefold.upstreams.queue import DeadlineQueue
+from bronzefold.upstreams.queue import Job
+from bronzefold.upstreams.ramp import ColdStartRamp
+
+__all__ = [
+  "ColdStartRamp",
+  "DeadlineQueue",
+  "Exchange",
+  "HolderState",
+  "Job",
+  "Reply",
+  "SearchBody",
+  "SearchReply",
+  "ShardResult",
+  "SnapshotReport",
+  "StatusReport",
+  "UpstreamConnection",
+  "UpstreamHolder",
+]
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of upstreams."""
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,89 @@
+"""The whole path, from a caller to upstreams and back."""
+
+import json
+import unittest
+
+from tests import fleet
+from tests.standins import records
+
+QUERIES = {
+  "range": {"since": 1_700_100_000, "until": 1_700_200_000, "limit": 50},
+  "top": {"limit": 7},
+  "nearest": {"x": 400, "y": 90_000, "gas": "argon", "limit": 5},
+  "groups": {},
+}
+
+
+class PathTest(unittest.TestCase):
+  """Two nodes over four upstreams."""
+
+  @classmethod
+  def setUpClass(cls):
+    cls.fleet = fleet.Fleet(nodes=2)
+    cls.enterClassContext(cls.fleet)
+    cls.fleet.apply(cls.fleet.make_document())
+    cls.fleet.wait_warm()
+
+  def test_search_equals_direct_answer(self):
+    held = records.make_records(7, 2000)
+    for route, query in QUERIES.items():
+      for node in ("n0", "n1"):
+        with self.subTest(route=route, node=node):
+          status, reply = self.fleet.search(node, route, query)
+          self.assertEqual(status, 200)
+          self.assertTrue(reply["complete"])
+          self.assertEqual(
+            reply["coverage"], {"covered": 2000, "total": 2000, "missing": []}
+          )
+          wanted = records.evaluate(route, query, held)
+          self.assertEqual(reply["result"], json.loads(json.dumps(wanted)))
+
+  def test_action_runs_once_for_a_key(self):
+    first = self.fleet.act("n0", "key-1", {"truck": 4})
+    second = self.fleet.act("n1", "key-1", {"truck": 4})
+    self.assertEqual((first[0], second[0]), (200, 200))
+    self.assertEqual(first[1]["result"], second[1]["result"])
+    self.assertEqual(
+      (first[1]["repeated"], second[1]["repeated"]), (False, True)
+    )
+    self.assertEqual(self.fleet.counts()["executions"]["key-1"], 1)
+
+  def test_key_reused_with_another_body_is_refused(self):
+    self.fleet.act("n0", "key-2", {"truck": 4})
+    status, reply = self.fleet.act("n1", "key-2", {"truck": 5})
+    self.assertEqual((status, reply["error"]), (422, "key_reused"))
+    self.assertEqual(reply["outcome"], "not_run")
+
+  def test_addresses_name_own_zone_first(self):
+    path = "/v1/addresses?zone=b"
+    _, reply = fleet.call("GET", self.fleet.address("n0"), path)
+    self.assertEqual([a["zone"] for a in reply["addresses"]], ["b", "a"])
+    self.assertGreater(reply["keep_s"], 0)
+
+  def test_bad_requests_get_typed_errors(self):
+    address = self.fleet.address("n0")
+    search = "/v1/services/fuel/search/"
+    cases = [
+      ("/v1/services/none/search/top", {"query": {}}, 404, "unknown_service"),
+      (search + "none", {"query": {}}, 404, "unknown_route"),
+      (search + "book", {"query": {}}, 404, "unknown_route"),
+      (search + "top", {}, 400, "bad_request"),
+      (search + "top", {"query": {}, "deadline_ms": 0}, 400, "bad_request"),
+      (search + "top", {"query": {}, "deadline_ms": 1e9}, 400, "bad_request"),
+      (search + "top", {"query": {"limit": -1}}, 400, "bad_request"),
+      (search + "top", {"query": "x" * 400_000}, 413, "too_large"),
+    ]
+    for path, body, status, error in cases:
+      with self.subTest(path=path, error=error):
+        found, reply = fleet.call("POST", address, path, body)
+        self.assertEqual((found, reply["error"]), (status, error))
+        self.assertEqual(reply["outcome"], "not_run")
+
+  def test_action_without_key_is_refused(self):
+    path = "/v1/services/fuel/actions/book"
+    status, reply = fleet.call("POST", self.fleet.address("n0"), path, {})
+    self.assertEqual((status, reply["error"]), (400, "bad_request"))
+
+
+if __name__ == "__main__":
+  unittest.main()
