--- a/packages/core/src/bronzefold/core/documents.py
+++ b/packages/core/src/bronzefold/core/documents.py
@@ -81,6 +81,7 @@
     slots: Requests that one upstream runs at once.
     connections: Connections that one upstream accepts.
     cold_slots: Requests that a cold upstream bears at once.
+    warm_up_s: Time for which an upstream counts as cold at least.
     deadline_ms: Deadline of a request that names none.
     shards_per_request: Shards asked for in one exchange.
     hedge_share: Hedges allowed as a share of exchanges.
@@ -90,6 +91,7 @@
   slots: int = 2
   connections: int = 25
   cold_slots: int = 1
+  warm_up_s: float = defaults.WARM_UP_S
   deadline_ms: int = defaults.DEADLINE_MS
   shards_per_request: int = defaults.MAX_SHARDS_PER_REQUEST
   hedge_share: float = defaults.HEDGE_SHARE
@@ -313,6 +315,7 @@
     "slots": (1, 1024),
     "connections": (1, 10_000),
     "cold_slots": (1, limits.slots),
+    "warm_up_s": (0.0, 3600.0),
     "deadline_ms": (1, defaults.MAX_DEADLINE_MS),
     "shards_per_request": (1, 1024),
     "hedge_share": (0.0, 1.0),
--- a/packages/node/src/bronzefold/node/actions.py
+++ b/packages/node/src/bronzefold/node/actions.py
@@ -201,8 +201,9 @@
     wanted = [u for u in usable if u.entry.version == version]
     wanted = wanted or [u for u in usable if u.entry.version in stable]
     by_name = {u.entry.name: u for u in wanted or usable}
+    now = clock.read_monotonic()
     candidates = [
-      self._selector.make_candidate(u, 0.0) for u in by_name.values()
+      self._selector.make_candidate(u, 0.0, now) for u in by_name.values()
     ]
     return by_name[self._policy(candidates, self._generator).upstream]
 
--- a/packages/node/src/bronzefold/node/directory.py
+++ b/packages/node/src/bronzefold/node/directory.py
@@ -5,20 +5,22 @@
 import collections
 
 from bronzefold.core import ranges
+from bronzefold.core.clock import Seconds
 from bronzefold.peers import messages
 
+_QUEUED_MAX_AGE_S = 0.25
+
 
 class Directory:
   """Reports of upstreams, manifests, and this node's own work with them.
 
   Attributes:
     outstanding: Count of this node's requests in progress, by upstream.
-    queued: Requests that the owner held at its last reply, by upstream.
   """
 
   def __init__(self) -> None:
     self.outstanding: collections.Counter[str] = collections.Counter()
-    self.queued: dict[str, int] = {}
+    self._queued: dict[str, tuple[int, Seconds]] = {}
     self._reports: dict[str, messages.UpstreamReport] = {}
     self._manifests: dict[str, dict[int, ranges.Manifest]] = {}
 
@@ -48,10 +50,21 @@
     """Lists the newest report of every upstream."""
     return list(self._reports.values())
 
+  def record_queued(self, upstream: str, queued: int, now: Seconds) -> None:
+    """Takes note of the requests that an upstream's owner holds."""
+    self._queued[upstream] = (queued, now)
+
+  def get_load(self, upstream: str, now: Seconds) -> int:
+    """Returns the requests known to wait for an upstream or run on it."""
+    queued, recorded_at = self._queued.get(upstream, (0, 0.0))
+    if now - recorded_at > _QUEUED_MAX_AGE_S:
+      queued = 0
+    return max(self.outstanding[upstream], queued)
+
   def forget(self, upstream: str) -> None:
     """Drops an upstream that no document names any longer."""
     self._reports.pop(upstream, None)
-    self.queued.pop(upstream, None)
+    self._queued.pop(upstream, None)
 
   def record_manifest(self, service: str, manifest: ranges.Manifest) -> bool:
     """Takes over the manifest of a snapshot.
--- a/packages/node/src/bronzefold/node/dispatch.py
+++ b/packages/node/src/bronzefold/node/dispatch.py
@@ -156,7 +156,9 @@
       idempotent=not dispatch.key,
     )
     outcome = await holder.submit(job)
-    self._known.queued[dispatch.upstream] = holder.get_queued()
+    self._known.record_queued(
+      dispatch.upstream, holder.get_queued(), clock.read_monotonic()
+    )
     return outcome.map(
       lambda reply: Delivered(
         reply.instance, reply.status, reply.body, reply.took_s
@@ -179,7 +181,9 @@
     if outcome.is_error():
       return Error(outcome.error)
     reply = outcome.ok
-    self._known.queued[dispatch.upstream] = reply.queued
+    self._known.record_queued(
+      dispatch.upstream, reply.queued, clock.read_monotonic()
+    )
     return Ok(Delivered(reply.instance, reply.status, reply.body, reply.took_s))
 
 
--- a/packages/node/src/bronzefold/node/search.py
+++ b/packages/node/src/bronzefold/node/search.py
@@ -296,8 +296,9 @@
     stable = self._searcher.traffic.get_stable_versions(self._request.document)
     allowed = allowed or [u for u in untried if u.entry.version in stable]
     by_name = {u.entry.name: u for u in allowed or untried}
+    now = clock.read_monotonic()
     candidates = [
-      self._searcher.selector.make_candidate(u, planned.get(name, 0))
+      self._searcher.selector.make_candidate(u, planned.get(name, 0), now)
       for name, u in by_name.items()
     ]
     chosen = self._searcher.policy(candidates, self._searcher.generator)
--- a/packages/node/src/bronzefold/node/selection.py
+++ b/packages/node/src/bronzefold/node/selection.py
@@ -125,23 +125,25 @@
       return False
     return self._members.is_alive(report.owner, now)
 
-  def make_candidate(self, usable: Usable, extra: float) -> routing.Candidate:
+  def make_candidate(
+    self, usable: Usable, extra: float, now: Seconds
+  ) -> routing.Candidate:
     """Describes an upstream to a routing policy.
 
     Args:
       usable: The upstream.
       extra: Requests that the current plan already sends to it.
+      now: The monotonic time.
 
     Returns:
       The candidate.
     """
     name = usable.entry.name
-    known = max(self._known.outstanding[name], self._known.queued.get(name, 0))
     return routing.Candidate(
       upstream=name,
       version=usable.entry.version,
       same_zone=usable.entry.zone == self._members.own.zone,
-      load=known + extra,
+      load=self._known.get_load(name, now) + extra,
       limit=usable.report.state.limit,
       latency_s=usable.report.state.latency_s,
     )
--- a/packages/upstreams/src/bronzefold/upstreams/holder.py
+++ b/packages/upstreams/src/bronzefold/upstreams/holder.py
@@ -86,7 +86,9 @@
     self._limits = limits
     self._gate = gate
     self._on_manifest = on_manifest
-    self._ramp = ramp.ColdStartRamp(limits.slots, limits.cold_slots)
+    self._ramp = ramp.ColdStartRamp(
+      limits.slots, limits.cold_slots, limits.warm_up_s
+    )
     self._queue = queue.DeadlineQueue()
     self._jobs: dict[str, queue.Job] = {}
     self._changed = anyio.Event()
--- a/packages/upstreams/src/bronzefold/upstreams/ramp.py
+++ b/packages/upstreams/src/bronzefold/upstreams/ramp.py
@@ -9,6 +9,7 @@
 
 _WARM_LATENCY_FACTOR = 2.0
 _STABLE_LATENCY_RATIO = 0.9
+_STABLE_WINDOWS = 3
 _BASELINE_WEIGHT = 0.05
 
 
@@ -24,16 +25,19 @@
       is known.
   """
 
-  def __init__(self, slots: int, cold_slots: int) -> None:
+  def __init__(self, slots: int, cold_slots: int, warm_up_s: Seconds) -> None:
     """Creates a ramp for a cold upstream.
 
     Args:
       slots: Limit of a warm upstream.
       cold_slots: Limit of a cold upstream.
+      warm_up_s: Time for which an upstream counts as cold at least.
     """
     assert 1 <= cold_slots <= slots
     self._slots = slots
     self._cold_slots = cold_slots
+    self._warm_up_s = warm_up_s
+    self._cold_since: Seconds | None = None
     self.limit = cold_slots
     self.instance = ""
     self._baseline_s: Seconds | None = None
@@ -41,6 +45,7 @@
     self._window: list[Seconds] = []
     self._step_started: Seconds | None = None
     self._slow_run = 0
+    self._stable_windows = 0
     self._suspended_limit: int | None = None
 
   @property
@@ -96,6 +101,8 @@
     self.limit = self._cold_slots
     self._suspended_limit = None
     self._previous_median_s = None
+    self._stable_windows = 0
+    self._cold_since = now
     self._begin_step(now)
 
   def record_success(self, latency_s: Seconds, now: Seconds) -> None:
@@ -108,7 +115,8 @@
     if self.warm:
       self._watch_warm(latency_s, now)
       return
-    if self._step_started is None:
+    if self._cold_since is None:
+      self._cold_since = now
       self._begin_step(now)
     self._window.append(latency_s)
     self._try_step(now)
@@ -116,8 +124,7 @@
   def record_refusal(self, now: Seconds) -> None:
     """Takes note that the upstream shed work: it bears less than thought."""
     if not self.warm:
-      self.limit = self._cold_slots
-      self._begin_step(now)
+      self.restart(self.instance, now)
 
   def _begin_step(self, now: Seconds) -> None:
     self._step_started = now
@@ -140,6 +147,8 @@
       return
     if now - self._step_started < defaults.RAMP_STEP_S:
       return
+    if now - self._cold_since < self._warm_up_s:
+      return
     median_s = statistics.median(self._window)
     if self._looks_warm(median_s):
       self.limit = min(self._slots, self.limit + 1)
@@ -149,8 +158,17 @@
     self._begin_step(now)
 
   def _looks_warm(self, median_s: Seconds) -> bool:
+    """True when latency is usual, or has stopped falling for a while.
+
+    The second condition keeps an outdated baseline from holding an upstream
+    at its cold limit forever.
+    """
+    previous_s = self._previous_median_s
+    if previous_s is not None:
+      stable = median_s >= previous_s * _STABLE_LATENCY_RATIO
+      self._stable_windows = self._stable_windows + 1 if stable else 0
     if self._baseline_s is not None:
-      return median_s <= self._baseline_s * _WARM_LATENCY_FACTOR
-    if self._previous_median_s is None:
-      return False
-    return median_s >= self._previous_median_s * _STABLE_LATENCY_RATIO
+      if median_s <= self._baseline_s * _WARM_LATENCY_FACTOR:
+        return True
+      return self._stable_windows >= _STABLE_WINDOWS
+    return self._stable_windows >= 1
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -255,7 +255,7 @@
       "upstreams": upstreams,
       "versions": {"v1": {"share": 1.0}},
       "zones": dict.fromkeys(self.zones, "in"),
-      "limits": {"slots": slots, "deadline_ms": 2000},
+      "limits": {"slots": slots, "deadline_ms": 2000, "warm_up_s": 2.0},
       **changed,
     }
 
@@ -289,7 +289,10 @@
   def wait_warm(self, names: list[str] | None = None) -> None:
     """Waits until upstreams are owned, with searches that warm them up."""
     wanted = names or [leaf["name"] for leaf in self.leaves]
-    self.wait_for(lambda: self._warm_up(wanted), timeout_s=60.0)
+    try:
+      self.wait_for(lambda: self._warm_up(wanted), timeout_s=30.0)
+    except AssertionError as error:
+      raise AssertionError(f"{self.owned_states()}\n{error}") from error
 
   def _warm_up(self, wanted: list[str]) -> bool:
     for _ in range(5):
--- a/tests/standins/records.py
+++ b/tests/standins/records.py
@@ -54,10 +54,15 @@
   ]
 
 
-def slice_records(records: tuple, low: int, high: int) -> tuple:
-  """Returns the records of a key range."""
+def slice_records(records: tuple, shards: list[dict[str, int]]) -> list[tuple]:
+  """Returns the records of each shard."""
   keys = [key for key, _ in records]
-  return records[bisect.bisect_left(keys, low) : bisect.bisect_left(keys, high)]
+  return [
+    records[
+      bisect.bisect_left(keys, s["low"]) : bisect.bisect_left(keys, s["high"])
+    ]
+    for s in shards
+  ]
 
 
 def evaluate(route: str, query: dict[str, Any], records: tuple) -> dict:
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import contextlib
 import functools
 import json
 import random
@@ -40,16 +41,16 @@
     self.faults: dict = {}
     self.generator = random.Random(self.name)
     self.clients: set = set()
+    self.most_cold = 0
+    self.overloaded = 0
+    self.log: list[float] = []
     self.restart(cold=spec.get("cold", False))
 
   def restart(self, cold: bool = True) -> None:
     self.instance = uuid.uuid4().hex
     self.started = time.monotonic() - (0 if cold else 1e6)
-    self.running = 0
-    self.held = 0
-    self.most_cold = 0
-    self.overloaded = 0
-    self.log: list[float] = []
+    # Work of an earlier instance ended with that instance.
+    self.held: set[object] = set()
     self.semaphore = asyncio.Semaphore(self.slots)
 
   @property
@@ -64,17 +65,24 @@
   def list_snapshots(self) -> list[int]:
     return self.faults.get("snapshots") or self.world.snapshots
 
-  def enter(self) -> None:
-    self.held += 1
+  @contextlib.contextmanager
+  def enter(self):
+    """Holds a request for the duration of a block."""
+    held, token = self.held, object()
+    held.add(token)
     self.log.append(time.time())
     if not self.warm:
-      self.most_cold = max(self.most_cold, self.held)
-    if self.held > self.bearable:
+      self.most_cold = max(self.most_cold, len(held))
+    if len(held) > self.bearable:
       self.overloaded += 1
+    try:
+      yield
+    finally:
+      held.discard(token)
 
   async def work(self, route: str) -> None:
     bad_route = self.faults.get("route") in (None, route)
-    under_load = self.held >= self.faults.get("bad_from_load", 0)
+    under_load = len(self.held) >= self.faults.get("bad_from_load", 0)
     faulty = bad_route and under_load
     took_s = self.service_s * self.generator.uniform(0.7, 1.3)
     took_s *= 1.0 if self.warm else 3.0
@@ -105,11 +113,28 @@
       seed, snapshot, count, self.get_records(snapshot)
     )
 
+  @functools.lru_cache(maxsize=8)  # noqa: B019
+  def get_slices(self, snapshot: int) -> list[tuple]:
+    held = self.get_records(snapshot)
+    return records.slice_records(held, self.get_shards(snapshot))
+
   def get_records(self, snapshot: int) -> tuple:
     """Each later snapshot lacks a few more of the first records."""
     return self.records[(snapshot - 1) * 7 :]
 
 
+async def run_while_connected(request, work) -> None:
+  """Runs work; a connection that closes cancels it."""
+  running = asyncio.ensure_future(work)
+  watching = asyncio.ensure_future(request.receive())
+  await asyncio.wait([running, watching], return_when=asyncio.FIRST_COMPLETED)
+  watching.cancel()
+  if not running.done():
+    running.cancel()
+    raise RuntimeError
+  running.result()
+
+
 class LeafEndpoints:
   """The HTTP interface of one upstream."""
 
@@ -173,24 +198,21 @@
     snapshot = body["snapshot"]
     if snapshot not in self.leaf.list_snapshots():
       return self.reply(request, {"snapshots": self.leaf.list_snapshots()}, 409)
-    self.leaf.enter()
     try:
-      await self.leaf.work(body["route"])
+      with self.leaf.enter():
+        await run_while_connected(request, self.leaf.work(body["route"]))
     except RuntimeError:
       return self.reply(request, {}, 500)
-    finally:
-      self.leaf.held -= 1
     return self.reply(request, self.alter(self.answer_search(body)))
 
   def answer_search(self, body: dict) -> dict:
     snapshot = body["snapshot"]
     shards = self.leaf.world.get_shards(snapshot)
-    held = self.leaf.world.get_records(snapshot)
+    slices = self.leaf.world.get_slices(snapshot)
     results = []
     for number in body["shards"]:
       shard = shards[number]
-      part = records.slice_records(held, shard["low"], shard["high"])
-      result = records.evaluate(body["route"], body["query"], part)
+      result = records.evaluate(body["route"], body["query"], slices[number])
       results.append({**shard, "result": result})
     return {
       "request": body["request"],
@@ -219,16 +241,13 @@
     if refused is not None:
       return refused
     body = await request.json()
-    self.leaf.enter()
     try:
-      self.leaf.world.executions[request.headers["idempotency-key"]] += 1
-      await self.leaf.work(request.path_params["route"])
-      if self.leaf.faults.get("hang_actions"):
-        await asyncio.sleep(self.leaf.faults["hang_actions"])
+      with self.leaf.enter():
+        self.leaf.world.executions[request.headers["idempotency-key"]] += 1
+        await self.leaf.work(request.path_params["route"])
+        await asyncio.sleep(self.leaf.faults.get("hang_actions", 0.0))
     except RuntimeError:
       return self.reply(request, {}, 500)
-    finally:
-      self.leaf.held -= 1
     return self.reply(request, {"booked": body})
 
   def make_application(self) -> applications.Starlette:
@@ -262,6 +281,8 @@
       faults = body.get("leaves", {}).get(leaf.name)
       if faults is None:
         continue
+      if faults.pop("keep", False):
+        faults = {**leaf.faults, **faults}
       if faults.pop("restart", False):
         leaf.restart()
         servers[leaf.name].cut_connections()
@@ -273,7 +294,7 @@
   async def show_counts(_):
     leaves = {
       leaf.name: {
-        "held": leaf.held,
+        "held": len(leaf.held),
         "most_cold": leaf.most_cold,
         "overloaded": leaf.overloaded,
         "log": leaf.log,
