--- a/packages/node/src/bronzefold/node/directory.py
+++ b/packages/node/src/bronzefold/node/directory.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Collection
+
+import xxhash
 
 from bronzefold.core import ranges
 from bronzefold.core.clock import Seconds
@@ -15,10 +18,12 @@
   """Reports of upstreams, manifests, and this node's own work with them.
 
   Attributes:
+    digest: Equal on nodes that know the same reports and manifests.
     outstanding: Count of this node's requests in progress, by upstream.
   """
 
   def __init__(self) -> None:
+    self.digest = 0
     self.outstanding: collections.Counter[str] = collections.Counter()
     self._queued: dict[str, tuple[int, Seconds]] = {}
     self._reports: dict[str, messages.UpstreamReport] = {}
@@ -39,7 +44,10 @@
     known = self._reports.get(report.upstream)
     if known and (known.term, known.number) >= (report.term, report.number):
       return False
+    if known:
+      self._toggle(_hash_report(known))
     self._reports[report.upstream] = report
+    self._toggle(_hash_report(report))
     return True
 
   def get_report(self, upstream: str) -> messages.UpstreamReport | None:
@@ -61,10 +69,17 @@
       queued = 0
     return max(self.outstanding[upstream], queued)
 
-  def forget(self, upstream: str) -> None:
-    """Drops an upstream that no document names any longer."""
-    self._reports.pop(upstream, None)
-    self._queued.pop(upstream, None)
+  def retain(self, upstreams: Collection[str]) -> None:
+    """Drops what no longer serves: other upstreams and their manifests.
+
+    Args:
+      upstreams: Names of the upstreams that documents name.
+    """
+    for upstream in [name for name in self._reports if name not in upstreams]:
+      self._toggle(_hash_report(self._reports.pop(upstream)))
+      self._queued.pop(upstream, None)
+    for service in self._manifests:
+      self._prune_manifests(service)
 
   def record_manifest(self, service: str, manifest: ranges.Manifest) -> bool:
     """Takes over the manifest of a snapshot.
@@ -80,7 +95,7 @@
     if manifest.snapshot in manifests:
       return False
     manifests[manifest.snapshot] = manifest
-    self._prune_manifests(service)
+    self._toggle(_hash_manifest(service, manifest))
     return True
 
   def get_manifests(self, service: str) -> dict[int, ranges.Manifest]:
@@ -107,4 +122,17 @@
       return
     oldest = min(served)
     for snapshot in [s for s in manifests if s < oldest]:
-      del manifests[snapshot]
+      self._toggle(_hash_manifest(service, manifests.pop(snapshot)))
+
+  def _toggle(self, item: int) -> None:
+    self.digest ^= item
+
+
+def _hash_report(report: messages.UpstreamReport) -> int:
+  text = f"{report.upstream}/{report.term}/{report.number}"
+  return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def _hash_manifest(service: str, manifest: ranges.Manifest) -> int:
+  text = f"{service}/{manifest.snapshot}"
+  return xxhash.xxh3_64_intdigest(text.encode())
--- a/packages/node/src/bronzefold/node/gossip.py
+++ b/packages/node/src/bronzefold/node/gossip.py
@@ -20,7 +20,6 @@
 from bronzefold.platform import keys
 
 _SEED_PREFIX = "seed/"
-_SYNC_CHUNK = 200
 
 _Handle = Callable[["Gossip", str, Any], Awaitable[None]]
 _HANDLERS: dict[type, _Handle] = {}
@@ -67,7 +66,7 @@
     self._network = network
     self._traffic = traffic
     self._dispatcher = dispatcher
-    self._synced: set[str] = set()
+    self._differing: set[str] = set()
     config.add_listener(self._follow_registration)
 
   async def run(self) -> None:
@@ -106,7 +105,7 @@
       peer_address=own.peer_address,
       platform_age_s=self._members.get_platform_age(clock.read_monotonic()),
       config_revision=self._config.revision,
-      reports=len(self._known),
+      digest=self._known.digest,
     )
 
   def _connect(self) -> None:
@@ -121,7 +120,7 @@
       is_seed = node.startswith(_SEED_PREFIX)
       if (is_seed and others) or (not is_seed and node not in others):
         self._network.disconnect(node)
-        self._synced.discard(node)
+        self._differing.discard(node)
 
   def _list_seeds(self) -> list[str]:
     connected = self._network.list_connected()
@@ -160,12 +159,25 @@
     self._members.record_heartbeat(heartbeat, clock.read_monotonic())
     self._network.connect(sender, heartbeat.peer_address)
     behind = heartbeat.config_revision > self._config.revision
-    lacking = heartbeat.reports > len(self._known)
-    if behind or lacking or sender not in self._synced:
-      self._synced.add(sender)
-      request = messages.SyncRequest(self._config.revision, True)
+    lacking = self._differs_for_long(heartbeat)
+    if behind or lacking:
+      request = messages.SyncRequest(self._config.revision, lacking)
       self._network.send(sender, request)
 
+  def _differs_for_long(self, heartbeat: messages.Heartbeat) -> bool:
+    """True when two heartbeats in a row show other reports than known here.
+
+    A single difference may be news that is still on its way.
+    """
+    if heartbeat.digest == self._known.digest:
+      self._differing.discard(heartbeat.node)
+      return False
+    if heartbeat.node not in self._differing:
+      self._differing.add(heartbeat.node)
+      return False
+    self._differing.discard(heartbeat.node)
+    return True
+
   @register_handler(messages.SyncRequest)
   async def _on_sync_request(
     self, sender: str, request: messages.SyncRequest
--- a/packages/node/src/bronzefold/node/ownership.py
+++ b/packages/node/src/bronzefold/node/ownership.py
@@ -141,6 +141,7 @@
       now: The monotonic time.
     """
     entries = self._list_entries()
+    self._known.retain(entries)
     for name in [name for name in self._held if name not in entries]:
       tasks.start_soon(self._release, name)
     for name, (document, entry) in entries.items():
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -79,7 +79,7 @@
     platform_age_s: Time since the node, or one it heard of, last reached the
       platform; None if never.
     config_revision: Platform revision of the newest change it has applied.
-    reports: Count of the upstream reports that it knows.
+    digest: Digest of the reports and manifests that it knows.
   """
 
   node: str
@@ -89,7 +89,7 @@
   peer_address: str
   platform_age_s: float | None
   config_revision: int
-  reports: int
+  digest: int
 
 
 @register_message("sync_request")
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,107 @@
+"""A planned stop cuts off no request."""
+
+import signal
+import threading
+import time
+import unittest
+
+import httpcore
+
+from tests import fleet
+from tests import load
+
+
+class KeptCaller(threading.Thread):
+  """A caller that keeps one connection to one address, whatever it hears."""
+
+  def __init__(self, running: fleet.Fleet, node: str) -> None:
+    super().__init__()
+    self._url = f"http://{running.address(node)}"
+    self.stopped = threading.Event()
+    self.cut: list[str] = []
+    self.refused = 0
+    self.served = 0
+
+  def run(self) -> None:
+    path = "/v1/services/fuel/search/groups"
+    with httpcore.ConnectionPool(retries=0) as pool:
+      while not self.stopped.is_set():
+        try:
+          reply = pool.request(
+            "POST", self._url + path, content=b'{"query": {}}'
+          )
+        except httpcore.ConnectError:
+          self.refused += 1
+          time.sleep(0.05)
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+          self.cut.append(repr(error))
+        else:
+          self.served += reply.status == 200
+
+
+class StopTest(unittest.TestCase):
+  """Eight nodes under load."""
+
+  def setUp(self):
+    self.fleet = fleet.Fleet(nodes=8)
+    self.enterContext(self.fleet)
+    self.fleet.apply(self.fleet.make_document())
+    self.fleet.wait_warm()
+
+  def stop(self, name: str) -> None:
+    process = self.fleet.processes[name].popen
+    process.send_signal(signal.SIGTERM)
+    process.wait(timeout=30)
+    self.assertEqual(process.returncode, 0, self.fleet.read_logs())
+
+  def test_callers_who_keep_the_address_are_not_cut(self):
+    callers = [KeptCaller(self.fleet, "n3") for _ in range(4)]
+    for caller in callers:
+      caller.start()
+    time.sleep(1.0)
+    self.stop("n3")
+    for caller in callers:
+      caller.stopped.set()
+      caller.join()
+    self.assertEqual([c.cut for c in callers], [[]] * 4)
+    self.assertGreater(min(c.served for c in callers), 0)
+    log = (self.fleet.path / "n3.log").read_text()
+    self.assertNotIn("stop_cut", log)
+
+  def test_all_nodes_are_replaced_in_turn(self):
+    with load.Load(self.fleet, callers=3, action_share=0.2) as running:
+      for name in list(self.fleet.settings):
+        running.nodes = [n for n in self.fleet.settings if n != name]
+        time.sleep(0.3)
+        self.stop(name)
+        self.fleet.start_node(name)
+        self.fleet.wait_for(
+          lambda n=name: self.fleet.status(n)["state"] == "serving"
+        )
+        time.sleep(0.5)
+    failed = [r for r in running.records if r.status == 0]
+    self.assertEqual(failed, [])
+    unknown = [
+      r for r in running.records if r.reply.get("outcome") == "unknown"
+    ]
+    self.assertEqual(unknown, [])
+    searches = [r for r in running.records if not r.key]
+    complete = sum(r.complete for r in searches)
+    self.assertGreater(complete, 0.98 * len(searches))
+    executions = self.fleet.counts()["executions"]
+    self.assertEqual({n for n in executions.values() if n > 1}, set())
+
+  def test_leaving_node_is_not_in_the_addresses(self):
+    process = self.fleet.processes["n5"].popen
+    process.send_signal(signal.SIGTERM)
+    time.sleep(0.3)
+    path = "/v1/addresses?zone=a"
+    _, reply = fleet.call("GET", self.fleet.address("n0"), path)
+    listed = [a["address"] for a in reply["addresses"]]
+    self.assertEqual(len(listed), 7)
+    self.assertNotIn(self.fleet.address("n5"), listed)
+    process.wait(timeout=30)
+
+
+if __name__ == "__main__":
+  unittest.main()
