--- /dev/null
+++ b/packages/core/src/bronzefold/core/burn.py
@@ -0,0 +1,227 @@
+"""Service-level burn: counts over time and rates of burn from them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from bronzefold.core import documents
+from bronzefold.core.clock import Seconds
+
+FINE_BUCKET_S = 60
+COARSE_BUCKET_S = 3600
+FINE_KEPT_S = 6 * 3600
+COARSE_KEPT_S = 3 * 24 * 3600
+
+WINDOWS_S = {"5m": 300, "1h": 3600, "6h": 6 * 3600, "3d": 3 * 24 * 3600}
+FAST_BURN_RATE = 14.4
+SLOW_BURN_RATE = 1.0
+
+
+@attrs.frozen
+class Counts:
+  """Requests of one route.
+
+  Attributes:
+    total: All requests.
+    failed: Requests that got no answer.
+    slow: Requests answered later than the objective.
+    incomplete: Searches that did not cover all records.
+  """
+
+  total: int = 0
+  failed: int = 0
+  slow: int = 0
+  incomplete: int = 0
+
+  def __add__(self, other: Counts) -> Counts:
+    """Adds up two counts."""
+    return Counts(
+      self.total + other.total,
+      self.failed + other.failed,
+      self.slow + other.slow,
+      self.incomplete + other.incomplete,
+    )
+
+
+@attrs.frozen
+class Bucket:
+  """Counts of a span of time.
+
+  Attributes:
+    start: Start of the span, seconds since the Unix epoch.
+    length_s: Its length.
+    routes: Counts by route.
+  """
+
+  start: int
+  length_s: int
+  routes: dict[str, Counts]
+
+
+@attrs.frozen
+class History:
+  """Counts of one service, fine for hours and coarse for days.
+
+  Attributes:
+    buckets: Buckets in no particular order, without overlaps.
+  """
+
+  buckets: tuple[Bucket, ...] = ()
+
+
+@attrs.frozen
+class BurnRate:
+  """How fast an objective's error budget is spent.
+
+  Attributes:
+    route: Name of the route.
+    objective: "availability", "latency" or "coverage".
+    window: Name of the window.
+    total: Requests in the window.
+    bad: Those that missed the objective.
+    rate: Share of bad requests over the share that the objective allows; at 1
+      the budget is spent exactly by the end of its period.
+  """
+
+  route: str
+  objective: str
+  window: str
+  total: int
+  bad: int
+  rate: float
+
+
+@attrs.frozen
+class Alert:
+  """A burn that needs attention.
+
+  Attributes:
+    route: Name of the route.
+    objective: Name of the objective.
+    speed: "fast" or "slow".
+  """
+
+  route: str
+  objective: str
+  speed: str
+
+
+def add_counts(
+  history: History, counts: dict[str, Counts], now_wall: Seconds
+) -> History:
+  """Adds counts at the present time and compacts what is old.
+
+  Args:
+    history: The history.
+    counts: Counts by route.
+    now_wall: Time since the Unix epoch.
+
+  Returns:
+    The new history.
+  """
+  start = int(now_wall) // FINE_BUCKET_S * FINE_BUCKET_S
+  added = Bucket(start, FINE_BUCKET_S, counts)
+  placed = (
+    _place(bucket, now_wall)
+    for bucket in (*history.buckets, added)
+    if bucket.start > now_wall - COARSE_KEPT_S
+  )
+  merged: dict[tuple[int, int], dict[str, Counts]] = {}
+  for bucket in placed:
+    routes = merged.setdefault((bucket.start, bucket.length_s), {})
+    for route, more in bucket.routes.items():
+      routes[route] = routes.get(route, Counts()) + more
+  return History(
+    tuple(
+      Bucket(start, length_s, routes)
+      for (start, length_s), routes in sorted(merged.items())
+    )
+  )
+
+
+def compute_rates(
+  history: History, objectives: documents.Objectives, now_wall: Seconds
+) -> list[BurnRate]:
+  """Computes the rates of burn of every route, objective and window.
+
+  Args:
+    history: The history.
+    objectives: The service's objectives.
+    now_wall: Time since the Unix epoch.
+
+  Returns:
+    The rates; 0 where a window has no requests.
+  """
+  routes = sorted({route for b in history.buckets for route in b.routes})
+  return [
+    rate
+    for route in routes
+    for window, length_s in WINDOWS_S.items()
+    for rate in _compute_window(
+      route, window, _sum(history, route, now_wall - length_s), objectives
+    )
+  ]
+
+
+def find_alerts(rates: Iterable[BurnRate]) -> list[Alert]:
+  """Finds the burns that need attention.
+
+  A fast burn shows in the last 5 minutes and the last hour, a slow one in the
+  last 6 hours and the last 3 days.
+
+  Args:
+    rates: Rates of burn.
+
+  Returns:
+    The alerts.
+  """
+  by_window = {(r.route, r.objective, r.window): r.rate for r in rates}
+  pairs = sorted({(route, objective) for route, objective, _ in by_window})
+  conditions = (
+    ("fast", ("5m", "1h"), FAST_BURN_RATE),
+    ("slow", ("6h", "3d"), SLOW_BURN_RATE),
+  )
+  return [
+    Alert(route, objective, speed)
+    for route, objective in pairs
+    for speed, windows, limit in conditions
+    if all(by_window[route, objective, w] > limit for w in windows)
+  ]
+
+
+def _place(bucket: Bucket, now_wall: Seconds) -> Bucket:
+  """Moves an old fine bucket to the coarse one of its hour."""
+  is_fine = bucket.length_s == FINE_BUCKET_S
+  if is_fine and bucket.start < now_wall - FINE_KEPT_S:
+    start = bucket.start // COARSE_BUCKET_S * COARSE_BUCKET_S
+    return Bucket(start, COARSE_BUCKET_S, bucket.routes)
+  return bucket
+
+
+def _sum(history: History, route: str, since: Seconds) -> Counts:
+  counts = (
+    bucket.routes[route]
+    for bucket in history.buckets
+    if bucket.start + bucket.length_s > since and route in bucket.routes
+  )
+  return sum(counts, Counts())
+
+
+def _compute_window(
+  route: str, window: str, counts: Counts, objectives: documents.Objectives
+) -> Iterable[BurnRate]:
+  answered = counts.total - counts.failed
+  for objective, bad, total, wanted in (
+    (
+      "availability",
+      counts.failed,
+      counts.total,
+      objectives.availability_share,
+    ),
+    ("latency", counts.slow, answered, objectives.latency_share),
+    ("coverage", counts.incomplete, answered, objectives.coverage_share),
+  ):
+    rate = bad / total / (1.0 - wanted) if total else 0.0
+    yield BurnRate(route, objective, window, total, bad, rate)
--- /dev/null
+++ b/packages/node/src/bronzefold/node/burn.py
@@ -0,0 +1,76 @@
+"""Counts for the report on service-level burn, kept on the platform."""
+
+from __future__ import annotations
+
+import msgspec
+
+from bronzefold import platform
+from bronzefold.core import burn
+from bronzefold.core import exceptions
+from bronzefold.core.clock import Seconds
+from bronzefold.platform import keys
+
+
+class BurnRecorder:
+  """Counts the requests of this node, and those that peers report."""
+
+  def __init__(self) -> None:
+    """Creates a recorder without counts."""
+    self._counts: dict[str, dict[str, burn.Counts]] = {}
+
+  def record(self, service: str, route: str, counts: burn.Counts) -> None:
+    """Adds counts of a route."""
+    routes = self._counts.setdefault(service, {})
+    routes[route] = routes.get(route, burn.Counts()) + counts
+
+  def take(self) -> dict[str, dict[str, burn.Counts]]:
+    """Returns all counts by service and route, and starts from zero."""
+    counts, self._counts = self._counts, {}
+    return counts
+
+
+class BurnKeeper:
+  """Adds the fleet's counts to the histories on the platform."""
+
+  def __init__(self, client: platform.PlatformClient) -> None:
+    """Creates a keeper.
+
+    Args:
+      client: The platform.
+    """
+    self._client = client
+
+  async def keep(self, recorder: BurnRecorder, now_wall: Seconds) -> None:
+    """Moves the counts of a recorder to the platform.
+
+    Counts that the platform does not take stay with the recorder.
+
+    Args:
+      recorder: The recorder of the leader.
+      now_wall: Time since the Unix epoch.
+    """
+    for service, routes in recorder.take().items():
+      if not await self._add(service, routes, now_wall):
+        for route, counts in routes.items():
+          recorder.record(service, route, counts)
+
+  async def _add(
+    self, service: str, routes: dict[str, burn.Counts], now_wall: Seconds
+  ) -> bool:
+    key = keys.BURN_PREFIX + service
+    try:
+      entry = await self._client.get(key)
+      history = _decode(entry.value) if entry else burn.History()
+      added = burn.add_counts(history, routes, now_wall)
+      value = msgspec.json.encode(added).decode()
+      await self._client.put(key, value, entry.revision if entry else 0)
+    except exceptions.PlatformError:
+      return False
+    return True
+
+
+def _decode(value: str) -> burn.History:
+  try:
+    return msgspec.json.decode(value, type=burn.History)
+  except msgspec.MsgspecError:
+    return burn.History()
--- a/packages/node/src/bronzefold/node/configuration.py
+++ b/packages/node/src/bronzefold/node/configuration.py
@@ -171,21 +171,25 @@
     known = self._entries.get(entry.key)
     if known is not None and known.revision >= entry.revision:
       return
-    if not self._interpret(entry):
-      events.CONFIG_REFUSED.log(_logger, key=entry.key, revision=entry.revision)
+    problem = self._interpret(entry)
+    if problem is not None:
+      events.CONFIG_REFUSED.log(
+        _logger, key=entry.key, revision=entry.revision, reason=problem
+      )
       return
     self._entries[entry.key] = entry
     for listener in self._listeners:
       listener(entry)
 
-  def _interpret(self, entry: platform.Entry) -> bool:
+  def _interpret(self, entry: platform.Entry) -> str | None:
+    """Takes over an entry; returns why its value is invalid, if it is."""
     for prefix, interpret in _INTERPRETERS.items():
       if entry.key.startswith(prefix):
         try:
           interpret(self, entry.key.removeprefix(prefix), entry)
-        except (msgspec.MsgspecError, _InvalidValueError):
-          return False
-    return True
+        except (msgspec.MsgspecError, _InvalidValueError) as error:
+          return str(error)
+    return None
 
   def _prune(self) -> None:
     deleted = [e for e in self._entries.values() if e.value is None]
@@ -222,8 +226,10 @@
     configuration.documents.pop(name, None)
     return
   result = documents.read_record(entry.value, entry.key)
-  if result.is_error() or result.ok.document.service != name:
-    raise _InvalidValueError
+  if result.is_error():
+    raise _InvalidValueError(result.error.detail)
+  if result.ok.document.service != name:
+    raise _InvalidValueError(f"describes {result.ok.document.service!r}")
   configuration.documents[name] = result.ok.document
 
 
@@ -236,7 +242,7 @@
     return
   record = msgspec.json.decode(entry.value, type=ZoneRecord)
   if record.state not in documents.ZONE_STATES:
-    raise _InvalidValueError
+    raise _InvalidValueError(f"state {record.state!r}")
   configuration.zones[name] = record.state
 
 
--- a/packages/node/src/bronzefold/node/gossip.py
+++ b/packages/node/src/bronzefold/node/gossip.py
@@ -11,6 +11,7 @@
 from bronzefold import peers
 from bronzefold.core import clock
 from bronzefold.core import settings
+from bronzefold.node import burn
 from bronzefold.node import configuration
 from bronzefold.node import directory
 from bronzefold.node import dispatch
@@ -47,6 +48,7 @@
     network: peers.PeerNetwork,
     traffic: versions.VersionTraffic,
     dispatcher: dispatch.Dispatcher,
+    recorder: burn.BurnRecorder,
   ) -> None:
     """Creates a gossip; ``run`` sends heartbeats.
 
@@ -58,6 +60,7 @@
       network: Links to the nodes.
       traffic: Suspicions and evidence about versions.
       dispatcher: Runs the calls of other nodes.
+      recorder: Counts for the burn report.
     """
     self._own = own
     self._config = config
@@ -66,6 +69,7 @@
     self._network = network
     self._traffic = traffic
     self._dispatcher = dispatcher
+    self._recorder = recorder
     self._differing: set[str] = set()
     config.add_listener(self._follow_registration)
 
@@ -224,6 +228,10 @@
       clock.read_monotonic(),
     )
 
+  @register_handler(messages.BurnCounts)
+  async def _on_burn(self, _: str, burnt: messages.BurnCounts) -> None:
+    self._recorder.record(burnt.service, burnt.route, burnt.counts)
+
   @register_handler(messages.Call)
   async def _on_call(self, sender: str, call: messages.Call) -> None:
     await self._dispatcher.serve_call(sender, call)
--- a/packages/node/src/bronzefold/node/leadership.py
+++ b/packages/node/src/bronzefold/node/leadership.py
@@ -11,6 +11,8 @@
 from bronzefold.core import defaults
 from bronzefold.core import exceptions
 from bronzefold.core import settings
+from bronzefold.core.clock import Seconds
+from bronzefold.node import burn
 from bronzefold.node import configuration
 from bronzefold.node import rollouts
 from bronzefold.node import session
@@ -30,6 +32,7 @@
     config: configuration.Configuration,
     traffic: versions.VersionTraffic,
     network: peers.PeerNetwork,
+    recorder: burn.BurnRecorder,
   ) -> None:
     """Creates a leadership that this node does not hold.
 
@@ -40,6 +43,7 @@
       config: The configuration in force.
       traffic: Evidence about versions.
       network: Links to the other nodes.
+      recorder: Counts for the burn report.
     """
     self._own = own
     self._client = client
@@ -47,6 +51,9 @@
     self._config = config
     self._traffic = traffic
     self._network = network
+    self._recorder = recorder
+    self._keeper = burn.BurnKeeper(client)
+    self._kept_at: Seconds = 0.0
     self._controller = rollouts.RolloutController(config, traffic, client)
 
   async def run(self) -> None:
@@ -77,7 +84,11 @@
     now = clock.read_monotonic()
     if self._session.get_lease(now) is None:
       return
-    await self._controller.run_once(term, now, clock.read_wall())
+    now_wall = clock.read_wall()
+    await self._controller.run_once(term, now, now_wall)
+    if now - self._kept_at > defaults.BURN_KEEP_S:
+      self._kept_at = now
+      await self._keeper.keep(self._recorder, now_wall)
 
   def _report(self, leader: str) -> None:
     for (
--- a/packages/node/src/bronzefold/node/node.py
+++ b/packages/node/src/bronzefold/node/node.py
@@ -9,11 +9,14 @@
 
 import anyio
 from anyio import abc
+from expression import Error
+from expression import Result
 import msgspec
 
 from bronzefold import callers
 from bronzefold import peers
 from bronzefold import platform
+from bronzefold.core import burn as core_burn
 from bronzefold.core import clock
 from bronzefold.core import defaults
 from bronzefold.core import documents
@@ -23,6 +26,7 @@
 from bronzefold.core import settings
 from bronzefold.node import actions
 from bronzefold.node import admission
+from bronzefold.node import burn
 from bronzefold.node import claims
 from bronzefold.node import configuration
 from bronzefold.node import directory
@@ -78,6 +82,7 @@
     self._tasks: abc.TaskGroup | None = None
     self._stopping = anyio.Event()
     self._metrics = metrics.Metrics()
+    self._recorder = burn.BurnRecorder()
     self._admission = admission.Admission(own.max_searches, own.max_searches)
     self.config = configuration.Configuration()
     self.known = directory.Directory()
@@ -147,6 +152,7 @@
       self._network,
       self._traffic,
       self._dispatcher,
+      self._recorder,
     )
     self._leadership = leadership.Leadership(
       own,
@@ -155,6 +161,7 @@
       self.config,
       self._traffic,
       self._network,
+      self._recorder,
     )
 
   @property
@@ -279,22 +286,16 @@
       deadline=_find_deadline(document, body.deadline_ms, started),
       complete=body.complete,
     )
-    outcome = "cancelled"
     try:
       with self._admission.admit_search():
         result = await self._searcher.search(wanted)
-      outcome = result.error.code if result.is_error() else "ok"
     except exceptions.OverloadedError as error:
-      outcome = error.code
-      raise
-    finally:
-      took_s = clock.read_monotonic() - started
-      self._metrics.record_request(service, route, outcome, took_s)
+      result = Error(error)
+    took_s = clock.read_monotonic() - started
+    coverage = None if result.is_error() else result.ok.coverage
+    self._record(document, route, result, took_s, coverage)
     if result.is_error():
       raise result.error
-    coverage = result.ok.coverage
-    share = coverage.covered / max(1, coverage.total or 1)
-    self._metrics.record_coverage(service, share)
     return _make_search_reply(result.ok)
 
   async def act(
@@ -317,11 +318,13 @@
       body=body,
       deadline=_find_deadline(document, deadline_ms, started),
     )
-    with self._admission.admit_action():
-      result = await self._runner.run(wanted)
+    try:
+      with self._admission.admit_action():
+        result = await self._runner.run(wanted)
+    except exceptions.OverloadedError as error:
+      result = Error(error)
     took_s = clock.read_monotonic() - started
-    outcome = result.error.code if result.is_error() else "ok"
-    self._metrics.record_request(service, route, outcome, took_s)
+    self._record(document, route, result, took_s, None)
     if result.is_error():
       raise result.error
     answer = result.ok
@@ -333,6 +336,31 @@
     )
     return answer.status, reply
 
+  def _record(
+    self,
+    document: documents.Document,
+    route: str,
+    result: Result[Any, exceptions.BronzefoldError],
+    took_s: clock.Seconds,
+    coverage: ranges.Coverage | None,
+  ) -> None:
+    """Counts a request in the metrics and for the burn report."""
+    service = document.service
+    outcome = result.error.code if result.is_error() else "ok"
+    self._metrics.record_request(service, route, outcome, took_s)
+    if coverage is not None:
+      share = coverage.covered / max(1, coverage.total or 1)
+      self._metrics.record_coverage(service, share)
+    late = took_s > document.objectives.latency_ms / 1e3
+    incomplete = coverage is not None and not coverage.complete
+    counts = core_burn.Counts(
+      total=1,
+      failed=int(result.is_error()),
+      slow=int(result.is_ok() and late),
+      incomplete=int(incomplete),
+    )
+    self._recorder.record(service, route, counts)
+
   def list_addresses(self, zone: str) -> callers.AddressesReply:
     """Lists the nodes that callers may use; see ``callers.Service``."""
     serving = self.members.list_serving(clock.read_monotonic())
--- a/packages/operators/src/bronzefold/operators/commands.py
+++ b/packages/operators/src/bronzefold/operators/commands.py
@@ -11,8 +11,10 @@
 
 import attrs
 from expression import Result
+import msgspec
 
 from bronzefold import platform
+from bronzefold.core import burn
 from bronzefold.core import clock
 from bronzefold.core import defaults
 from bronzefold.core import documents
@@ -226,6 +228,36 @@
   return Exit.DONE
 
 
+@register_command("report", "burn", "report the burn of all objectives")
+async def report_burn(context: Context, arguments: Sequence[str]) -> Exit:
+  """Reports the service-level burn, as text and with --output as a page."""
+  if arguments[0] != "burn":
+    context.write(f"no report {arguments[0]!r}; there is: burn")
+    return Exit.INVALID
+  # Plotting takes long to import and only this command needs it.
+  from bronzefold.operators import report
+
+  now_wall = clock.read_wall()
+  services = []
+  for document in await _list_documents(context):
+    entry = await context.client.get(keys.BURN_PREFIX + document.service)
+    history = burn.History()
+    if entry is not None:
+      history = msgspec.json.decode(entry.value, type=burn.History)
+    services.append(report.assess(document, history, now_wall))
+  context.write(report.write_text(services))
+  if context.output:
+    report.write_page(services, pathlib.Path(context.output), now_wall)
+    context.write(f"page written to {context.output}")
+  return Exit.DONE
+
+
+async def _list_documents(context: Context) -> list[documents.Document]:
+  listing = await context.client.list_prefix(keys.DOCUMENT_PREFIX)
+  records = [documents.read_record(e.value, e.key) for e in listing.entries]
+  return [record.ok.document for record in records if record.is_ok()]
+
+
 def _load(
   path: str,
 ) -> Result[documents.Document, exceptions.DocumentError]:
@@ -240,12 +272,10 @@
   context: Context, document: documents.Document
 ) -> str | None:
   """Finds an upstream that the document of another service names as well."""
-  listing = await context.client.list_prefix(keys.DOCUMENT_PREFIX)
-  records = [documents.read_record(e.value, e.key) for e in listing.entries]
   others = [
-    record.ok.document
-    for record in records
-    if record.is_ok() and record.ok.document.service != document.service
+    other
+    for other in await _list_documents(context)
+    if other.service != document.service
   ]
   taken = {
     value: other.service
@@ -261,14 +291,8 @@
 
 
 async def _list_zones(context: Context) -> set[str]:
-  listing = await context.client.list_prefix(keys.DOCUMENT_PREFIX)
-  records = [documents.read_record(e.value, e.key) for e in listing.entries]
-  return {
-    zone
-    for record in records
-    if record.is_ok()
-    for zone in record.ok.document.zones
-  }
+  found = await _list_documents(context)
+  return {zone for document in found for zone in document.zones}
 
 
 async def _finish_change(
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -13,6 +13,7 @@
 import attrs
 import msgspec
 
+from bronzefold.core import burn
 from bronzefold.core import exceptions
 from bronzefold.core import ranges
 from bronzefold.platform import messages as platform_messages
@@ -249,3 +250,19 @@
   good: int
   failed: int
   slow: int
+
+
+@register_message("burn")
+@attrs.frozen
+class BurnCounts:
+  """What a node counted for the burn report since its last message.
+
+  Attributes:
+    service: Name of the service.
+    route: The route.
+    counts: The counts.
+  """
+
+  service: str
+  route: str
+  counts: burn.Counts
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -237,6 +237,7 @@
     call("POST", self.platform, "/faults", faults)
 
   def make_document(self, service: str = "fuel", **changed: Any) -> dict:
+    versions = changed.get("versions", {"v1": {"share": 1.0}})
     upstreams = [
       {
         "name": leaf["name"],
@@ -246,6 +247,7 @@
       }
       for leaf in self.leaves
       if leaf.get("service", "fuel") == service
+      and leaf.get("version", "v1") in versions
     ]
     slots = max(leaf.get("slots", 2) for leaf in self.leaves)
     return {
@@ -253,7 +255,7 @@
       "owner": "depot-team",
       "routes": ROUTES,
       "upstreams": upstreams,
-      "versions": {"v1": {"share": 1.0}},
+      "versions": versions,
       "zones": dict.fromkeys(self.zones, "in"),
       "limits": {"slots": slots, "deadline_ms": 2000, "warm_up_s": 2.0},
       **changed,
