--- a/packages/node/src/bronzefold/node/admission.py
+++ b/packages/node/src/bronzefold/node/admission.py
@@ -16,18 +16,21 @@
 ) -> Seconds:
   """Estimates when a search that starts now would be complete.
 
+  An idle service is never refused, since only traffic can correct a latency
+  that has become too high, or make a cold upstream warm.
+
   Args:
     candidates: The upstreams that may serve it, with their present load.
     exchanges: Exchanges that it needs.
 
   Returns:
-    Time from now, 0 when no latency is known.
+    Time from now, 0 when no latency is known or the upstreams are idle.
   """
   known = [c for c in candidates if c.latency_s]
-  if not known:
+  load = sum(candidate.load for candidate in candidates)
+  if not known or not load:
     return 0.0
   slots = sum(candidate.limit for candidate in candidates)
-  load = sum(candidate.load for candidate in candidates)
   latency_s = sum(c.latency_s * c.limit for c in known)
   latency_s /= sum(c.limit for c in known)
   return latency_s * (load + exchanges) / slots
--- a/packages/node/src/bronzefold/node/ownership.py
+++ b/packages/node/src/bronzefold/node/ownership.py
@@ -69,12 +69,14 @@
     holder: Its holder.
     term: Revision at which this node claimed it.
     report: The last report sent.
+    label: The state last logged.
     unwanted_since: Time since when another node should own it.
   """
 
   holder: upstreams.UpstreamHolder
   term: int
   report: messages.UpstreamReport | None = None
+  label: str = ""
   unwanted_since: clock.Seconds | None = None
 
 
@@ -382,6 +384,7 @@
 
   def _report_changes(self) -> None:
     for name, held in self._held.items():
+      self._log_label(name, held)
       state = held.holder.get_state()
       if held.report is not None and not _is_news(held.report.state, state):
         continue
@@ -393,6 +396,12 @@
       if not self._own.direct:
         self._publish(held.report)
 
+  def _log_label(self, name: str, held: _Held) -> None:
+    label = held.holder.get_label()
+    if label != held.label:
+      held.label = label
+      events.UPSTREAM_CHANGED.log(_logger, upstream=name, state=label)
+
 
 def _is_news(
   reported: upstreams.HolderState, current: upstreams.HolderState
--- a/packages/node/src/bronzefold/node/search.py
+++ b/packages/node/src/bronzefold/node/search.py
@@ -32,7 +32,7 @@
 _MAX_ATTEMPTS = 4
 _MAX_SNAPSHOTS = 3
 _RETRY_PAUSE_S = 0.004
-_ADMITTED_SHARE = 0.7
+_ADMITTED_SHARE = 0.4
 _SEARCH_PATH = "/v1/search"
 
 # Errors of exchanges that no upstream has worked on.
--- a/packages/upstreams/src/bronzefold/upstreams/holder.py
+++ b/packages/upstreams/src/bronzefold/upstreams/holder.py
@@ -24,6 +24,9 @@
 _COLD_EXCHANGE_LIMIT_S = 5.0
 _POLL_TIMEOUT_S = 1.0
 _FAILURES_UNTIL_DOWN = 3
+_USUAL_SHARE = 0.8
+_LONG_LATENCY_FACTOR = 10.0
+_STRAGGLER_FACTOR = 3.0
 
 
 @attrs.frozen
@@ -222,11 +225,21 @@
   def _cancel(self, job: queue.Job) -> None:
     if job.outcome is None:
       job.finish(Error(exceptions.OutcomeUnknownError("cancelled")))
-    # A cold upstream may go on working on a cancelled request, so its place
-    # stays taken until the reply is there.
-    if self._ramp.warm and job.idempotent:
+    if self._is_worth_closing(job, clock.read_monotonic()):
       job.scope.cancel()
 
+  def _is_worth_closing(self, job: queue.Job, now: clock.Seconds) -> bool:
+    """True when a cancelled job should give up its connection.
+
+    A cold upstream may go on working on a cancelled request, so its place
+    stays taken until the reply is there. A reply that will come soon costs
+    less than a new connection.
+    """
+    if not self._ramp.warm or not job.idempotent or job.sent_at is None:
+      return False
+    usual_s = self._ramp.baseline_s or 0.0
+    return now - job.sent_at > _STRAGGLER_FACTOR * usual_s
+
   def _find_refusal(
     self, job: queue.Job, now: clock.Seconds
   ) -> exceptions.NotRunError | None:
@@ -255,7 +268,9 @@
   async def _next_job(self) -> queue.Job:
     while True:
       if self.in_progress < self._ramp.limit:
-        job = self._queue.pop(clock.read_monotonic())
+        # A request that would be cut off by its deadline is not sent at all.
+        usual_s = (self._ramp.baseline_s or 0.0) * _USUAL_SHARE
+        job = self._queue.pop(clock.read_monotonic() + usual_s)
         if job is not None:
           return job
       await self._changed.wait()
@@ -326,8 +341,10 @@
       return
     if not self._ramp.warm or not job.idempotent:
       budget_s = max(budget_s, _COLD_EXCHANGE_LIMIT_S)
+    usual_s = self._ramp.baseline_s or 0.0
+    budget_s = max(budget_s, _STRAGGLER_FACTOR * usual_s)
     assert self.in_progress <= self._ramp.limit, "cold start limit"
-    job.sent = True
+    job.sent_at = now
     self.sent += 1
     exchange = attrs.evolve(job.exchange, budget_s=budget_s)
     with job.scope:
@@ -335,12 +352,13 @@
     if job.scope.cancelled_caught:
       job.finish(Error(exceptions.OutcomeUnknownError("cancelled")))
       return
-    self._record(outcome, clock.read_monotonic())
+    self._record(outcome, budget_s, clock.read_monotonic())
     job.finish(outcome)
 
   def _record(
     self,
     outcome: Result[connection.Reply, exceptions.BronzefoldError],
+    budget_s: clock.Seconds,
     now: clock.Seconds,
   ) -> None:
     if outcome.is_ok():
@@ -357,9 +375,15 @@
       case exceptions.ConnectionLostError() | exceptions.ConnectFailedError():
         self._ramp.suspend()
         self._failures += 1
-      case exceptions.TimedOutError():
+      case exceptions.TimedOutError() if self._is_long(budget_s):
         self._failures += 1
 
+  def _is_long(self, budget_s: clock.Seconds) -> bool:
+    """True when a healthy upstream would have answered within a budget."""
+    if self._ramp.baseline_s is None:
+      return budget_s > _POLL_TIMEOUT_S
+    return budget_s > _LONG_LATENCY_FACTOR * self._ramp.baseline_s
+
   async def _poll(self) -> None:
     link = connection.UpstreamConnection(self.entry.address)
     try:
--- a/packages/upstreams/src/bronzefold/upstreams/queue.py
+++ b/packages/upstreams/src/bronzefold/upstreams/queue.py
@@ -24,7 +24,7 @@
     deadline: Monotonic time after which nobody waits for the reply.
     priority: Jobs of a lower number run first.
     idempotent: False for an action.
-    sent: True once the request may have left this process.
+    sent_at: Monotonic time of the sending, None before it.
     outcome: The outcome, None until it is known.
   """
 
@@ -32,7 +32,7 @@
   deadline: Seconds
   priority: int = 1
   idempotent: bool = True
-  sent: bool = False
+  sent_at: Seconds | None = None
   outcome: Result[connection.Reply, exceptions.BronzefoldError] | None = None
   scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
   _done: anyio.Event = attrs.field(factory=anyio.Event)
--- a/packages/upstreams/src/bronzefold/upstreams/ramp.py
+++ b/packages/upstreams/src/bronzefold/upstreams/ramp.py
@@ -134,7 +134,12 @@
   def _watch_warm(self, latency_s: Seconds, now: Seconds) -> None:
     if self._baseline_s is None:
       self._baseline_s = latency_s
-    if latency_s > self._baseline_s * defaults.COLD_LATENCY_FACTOR:
+    # Delays of this process must not pass for a cold upstream.
+    cold_latency_s = max(
+      self._baseline_s * defaults.COLD_LATENCY_FACTOR,
+      self._baseline_s + defaults.COLD_LATENCY_EXCESS_S,
+    )
+    if latency_s > cold_latency_s:
       self._slow_run += 1
     else:
       self._slow_run = 0
