--- a/packages/node/src/bronzefold/node/main.py
+++ b/packages/node/src/bronzefold/node/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import pathlib
 import signal
@@ -16,6 +17,7 @@
 from bronzefold.node import node
 
 _EXIT_BAD_SETTINGS = 2
+_COLLECTOR_THRESHOLDS = (20_000, 20, 50)
 
 _SETTINGS = flags.DEFINE_string(
   "settings", None, "File with the node's settings, JSON with comments."
@@ -68,7 +70,15 @@
   return 0
 
 
+def _tune_garbage_collector() -> None:
+  """Keeps full collections, which stop all requests, short and rare."""
+  gc.collect()
+  gc.freeze()
+  gc.set_threshold(*_COLLECTOR_THRESHOLDS)
+
+
 async def _make_and_run(created_from: settings.Settings) -> None:
+  _tune_garbage_collector()
   await _run_until_signal(node.Node(created_from))
 
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -11,6 +11,7 @@
 import collections
 import contextlib
 import functools
+import gc
 import json
 import random
 import sys
@@ -349,4 +350,6 @@
 if __name__ == "__main__":
   import uvloop
 
+  gc.freeze()
+  gc.set_threshold(50_000, 20, 100)
   uvloop.run(serve_world(json.loads(sys.argv[1])))
