Ask for so many shards in an exchange that a search fills the slots once

Also split the check of replies from the search, use one type for nodes, and log changes of contact.

Cause: a search of 200 shards made 26 exchanges of 8 shards, each about 1 ms of processor time at its owner; on this machine a third of the time asked for is taken by others, and queues grew at 10 searches/s. Change: 16 exchanges where there are 16 slots. The stand-in's time now grows with the shards asked for, so that larger exchanges are not free.

--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -34,7 +34,6 @@
 
 SHARDS = 200
 RECORDS = 4000
-SHARDS_PER_REQUEST = 8
 
 
 def make_leaves(
@@ -83,7 +82,6 @@
     "slots": deployment.slots,
     "connections": deployment.connections,
     "warm_up_s": 2.0,
-    "shards_per_request": SHARDS_PER_REQUEST,
     "deadline_ms": 210,
     **limits,
   }
@@ -93,5 +91,5 @@
 def count_exchanges(deployment: Deployment) -> int:
   """Counts the first exchanges of one search."""
   parts = deployment.leaves // 2
-  per_part = -(-SHARDS // parts)
-  return parts * -(-per_part // SHARDS_PER_REQUEST)
+  size = -(-SHARDS // (deployment.leaves * deployment.slots))
+  return parts * -(-(SHARDS // parts) // size)
--- a/packages/core/src/bronzefold/core/documents.py
+++ b/packages/core/src/bronzefold/core/documents.py
@@ -83,7 +83,7 @@
     cold_slots: Requests that a cold upstream bears at once.
     warm_up_s: Time for which an upstream counts as cold at least.
     deadline_ms: Deadline of a request that names none.
-    shards_per_request: Shards asked for in one exchange.
+    shards_per_request: Most shards asked for in one exchange.
     hedge_share: Hedges allowed as a share of exchanges.
     retry_share: Retries allowed as a share of successes.
   """
--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -79,7 +79,7 @@
   202, "lease_lapsed", logging.WARNING, "The node's lease has lapsed."
 )
 CONFIG_APPLIED = _register(
-  210, "config_applied", logging.INFO, "A change is in force on this node."
+  210, "config_applied", logging.DEBUG, "A change is in force on this node."
 )
 CONFIG_REFUSED = _register(
   211,
--- a/packages/node/src/bronzefold/node/actions.py
+++ b/packages/node/src/bronzefold/node/actions.py
@@ -197,10 +197,8 @@
   ) -> selection.Usable:
     document = action.document
     version = self._traffic.choose_version(document, action.request)
-    stable = self._traffic.get_stable_versions(document)
-    wanted = [u for u in usable if u.entry.version == version]
-    wanted = wanted or [u for u in usable if u.entry.version in stable]
-    by_name = {u.entry.name: u for u in wanted or usable}
+    narrowed = self._traffic.narrow(document, usable, version)
+    by_name = {u.entry.name: u for u in narrowed}
     now = clock.read_monotonic()
     candidates = [
       self._selector.make_candidate(u, 0.0, now) for u in by_name.values()
--- a/packages/node/src/bronzefold/node/admission.py
+++ b/packages/node/src/bronzefold/node/admission.py
@@ -11,9 +11,7 @@
 from bronzefold.node import routing
 
 
-def estimate_wait(
-  candidates: Sequence[routing.Candidate], exchanges: int
-) -> Seconds:
+def estimate_wait(candidates: Sequence[routing.Candidate]) -> Seconds:
   """Estimates when a search that starts now would be complete.
 
   An idle service is never refused, since only traffic can correct a latency
@@ -21,7 +19,6 @@
 
   Args:
     candidates: The upstreams that may serve it, with their present load.
-    exchanges: Exchanges that it needs.
 
   Returns:
     Time from now, 0 when no latency is known or the upstreams are idle.
@@ -33,7 +30,8 @@
   slots = sum(candidate.limit for candidate in candidates)
   latency_s = sum(c.latency_s * c.limit for c in known)
   latency_s /= sum(c.limit for c in known)
-  return latency_s * (load + exchanges) / slots
+  # A search makes about as many exchanges as there are slots.
+  return latency_s * (load / slots + 1.0)
 
 
 class Admission:
--- a/packages/node/src/bronzefold/node/configuration.py
+++ b/packages/node/src/bronzefold/node/configuration.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import logging
+from typing import TypeVar
 
 import attrs
 import msgspec
@@ -12,30 +13,14 @@
 from bronzefold import platform
 from bronzefold.core import documents
 from bronzefold.core import events
+from bronzefold.peers import membership
 from bronzefold.platform import keys
 
 _MAX_DELETED_KEYS = 20_000
 
-_logger = logging.getLogger(__name__)
-
-
-@attrs.frozen
-class NodeRecord:
-  """Registration of a node; attached to its lease.
-
-  Attributes:
-    node: Name of the node.
-    zone: Its availability zone.
-    state: "serving" or "leaving".
-    caller_address: IP:port for callers.
-    peer_address: IP:port for nodes.
-  """
+_T = TypeVar("_T")
 
-  node: str
-  zone: str
-  state: str
-  caller_address: str
-  peer_address: str
+_logger = logging.getLogger(__name__)
 
 
 @attrs.frozen
@@ -114,7 +99,7 @@
     self.documents: dict[str, documents.Document] = {}
     self.zones: dict[str, str] = {}
     self.owners: dict[str, Owned] = {}
-    self.nodes: dict[str, NodeRecord] = {}
+    self.nodes: dict[str, membership.Member] = {}
     self.rollouts: dict[str, RolloutRecord] = {}
     self.leader: Owned | None = None
     self._entries: dict[str, platform.Entry] = {}
@@ -178,6 +163,7 @@
       )
       return
     self._entries[entry.key] = entry
+    events.CONFIG_APPLIED.log(_logger, key=entry.key, revision=entry.revision)
     for listener in self._listeners:
       listener(entry)
 
@@ -237,54 +223,52 @@
 def _interpret_zone(
   configuration: Configuration, name: str, entry: platform.Entry
 ) -> None:
-  if entry.value is None:
-    configuration.zones.pop(name, None)
-    return
-  record = msgspec.json.decode(entry.value, type=ZoneRecord)
-  if record.state not in documents.ZONE_STATES:
+  record = _decode(entry, ZoneRecord)
+  if record is not None and record.state not in documents.ZONE_STATES:
     raise _InvalidValueError(f"state {record.state!r}")
-  configuration.zones[name] = record.state
+  _set_or_remove(configuration.zones, name, record and record.state)
 
 
 @register_interpreter(keys.OWNER_PREFIX)
 def _interpret_owner(
   configuration: Configuration, name: str, entry: platform.Entry
 ) -> None:
-  if entry.value is None:
-    configuration.owners.pop(name, None)
-    return
-  record = msgspec.json.decode(entry.value, type=OwnerRecord)
-  configuration.owners[name] = Owned(record.node, entry.revision)
+  record = _decode(entry, OwnerRecord)
+  owned = record and Owned(record.node, entry.revision)
+  _set_or_remove(configuration.owners, name, owned)
 
 
 @register_interpreter(keys.NODE_PREFIX)
 def _interpret_node(
   configuration: Configuration, name: str, entry: platform.Entry
 ) -> None:
-  if entry.value is None:
-    configuration.nodes.pop(name, None)
-    return
-  record = msgspec.json.decode(entry.value, type=NodeRecord)
-  configuration.nodes[name] = record
+  _set_or_remove(configuration.nodes, name, _decode(entry, membership.Member))
 
 
 @register_interpreter(keys.ROLLOUT_PREFIX)
 def _interpret_rollout(
   configuration: Configuration, name: str, entry: platform.Entry
 ) -> None:
-  if entry.value is None:
-    configuration.rollouts.pop(name, None)
-    return
-  record = msgspec.json.decode(entry.value, type=RolloutRecord)
-  configuration.rollouts[name] = record
+  _set_or_remove(configuration.rollouts, name, _decode(entry, RolloutRecord))
 
 
 @register_interpreter(keys.LEADER_KEY)
 def _interpret_leader(
   configuration: Configuration, _: str, entry: platform.Entry
 ) -> None:
+  record = _decode(entry, LeaderRecord)
+  configuration.leader = record and Owned(record.node, entry.revision)
+
+
+def _decode(entry: platform.Entry, kind: type[_T]) -> _T | None:
+  """Decodes an entry's value; None when the key was deleted."""
   if entry.value is None:
-    configuration.leader = None
-    return
-  record = msgspec.json.decode(entry.value, type=LeaderRecord)
-  configuration.leader = Owned(record.node, entry.revision)
+    return None
+  return msgspec.json.decode(entry.value, type=kind)
+
+
+def _set_or_remove(mapping: dict[str, _T], name: str, value: _T | None) -> None:
+  if value is None:
+    mapping.pop(name, None)
+  else:
+    mapping[name] = value
--- a/packages/node/src/bronzefold/node/gossip.py
+++ b/packages/node/src/bronzefold/node/gossip.py
@@ -142,19 +142,11 @@
     if not entry.key.startswith(prefix):
       return
     node = entry.key.removeprefix(prefix)
-    record = self._config.nodes.get(node)
-    if record is None:
+    member = self._config.nodes.get(node)
+    if member is None:
       self._members.unregister(node)
     else:
-      self._members.register(
-        membership.Member(
-          record.node,
-          record.zone,
-          record.state,
-          record.caller_address,
-          record.peer_address,
-        )
-      )
+      self._members.register(member)
 
   @register_handler(messages.Heartbeat)
   async def _on_heartbeat(
--- a/packages/node/src/bronzefold/node/node.py
+++ b/packages/node/src/bronzefold/node/node.py
@@ -81,6 +81,7 @@
     self.max_body_bytes = own.max_body_bytes
     self._tasks: abc.TaskGroup | None = None
     self._stopping = anyio.Event()
+    self._contact: membership.Contact | None = None
     self._metrics = metrics.Metrics()
     self._recorder = burn.BurnRecorder()
     self._admission = admission.Admission(own.max_searches, own.max_searches)
@@ -235,12 +236,19 @@
     while True:
       now = clock.read_monotonic()
       self._become_ready(now)
+      self._note_contact(now)
       self._selector.set_leaving_addresses(self._session.leaving_vms)
       if not self._stopping.is_set():
         self._ownership.adopt_claims(self._tasks)
         await self._ownership.run_once(self._tasks, now)
       await anyio.sleep(_OWNERSHIP_PERIOD_S)
 
+  def _note_contact(self, now: clock.Seconds) -> None:
+    contact = self.members.assess_contact(now)
+    if contact is not self._contact:
+      self._contact = contact
+      events.CONTACT_CHANGED.log(_logger, contact=contact.value)
+
   def _become_ready(self, now: clock.Seconds) -> None:
     if self.members.own.state != membership.STARTING:
       return
--- a/packages/node/src/bronzefold/node/search.py
+++ b/packages/node/src/bronzefold/node/search.py
@@ -24,6 +24,7 @@
 from bronzefold.node import directory
 from bronzefold.node import dispatch
 from bronzefold.node import merges
+from bronzefold.node import replies
 from bronzefold.node import routing
 from bronzefold.node import selection
 from bronzefold.node import versions
@@ -207,20 +208,11 @@
     now = clock.read_monotonic()
     usable = self.selector.list_usable(request.document, now)
     candidates = [self.selector.make_candidate(u, 0.0, now) for u in usable]
-    wait_s = admission.estimate_wait(
-      candidates, self._count_exchanges(request.document)
-    )
+    wait_s = admission.estimate_wait(candidates)
     if wait_s <= (request.deadline - now) * _ADMITTED_SHARE:
       return None
     return exceptions.OverloadedError(f"would wait for {wait_s:.3f} s")
 
-  def _count_exchanges(self, document: documents.Document) -> int:
-    manifests = self.known.get_manifests(document.service)
-    if not manifests:
-      return 0
-    shards = len(manifests[max(manifests)].shards)
-    return -(-shards // document.limits.shards_per_request)
-
   def _pin(
     self, request: SearchRequest, newer_than: int
   ) -> selection.PinnedSnapshot | None:
@@ -298,10 +290,10 @@
     )
     planned: dict[str, int] = {}
     groups = []
+    size = self._choose_group_size()
     for names, alike in by_holders:
       if not names:
         continue
-      size = self._choose_group_size()
       for chunk in ranges.chunk(alike, size):
         usable = self._choose(chunk[0], planned, prefer_version)
         planned[usable.entry.name] = planned.get(usable.entry.name, 0) + 1
@@ -309,7 +301,11 @@
     return groups
 
   def _choose_group_size(self) -> int:
-    return self._request.document.limits.shards_per_request
+    """Chooses so many shards that the exchanges fill the slots just once."""
+    usable = {u.entry.name: u for h in self._pin.holders.values() for u in h}
+    slots = sum(u.report.state.limit for u in usable.values())
+    size = -(-len(self._entries) // max(1, slots))
+    return min(size, self._request.document.limits.shards_per_request)
 
   def _list_untried(self, shard: int) -> list[selection.Usable]:
     tried = self._tried.get(shard, ())
@@ -322,13 +318,11 @@
   def _choose(
     self, shard: int, planned: dict[str, int], prefer_version: bool
   ) -> selection.Usable:
-    untried = self._list_untried(shard)
-    allowed = [
-      u for u in untried if prefer_version and u.entry.version == self._version
-    ]
-    stable = self._searcher.traffic.get_stable_versions(self._request.document)
-    allowed = allowed or [u for u in untried if u.entry.version in stable]
-    by_name = {u.entry.name: u for u in allowed or untried}
+    version = self._version if prefer_version else None
+    narrowed = self._searcher.traffic.narrow(
+      self._request.document, self._list_untried(shard), version
+    )
+    by_name = {u.entry.name: u for u in narrowed}
     now = clock.read_monotonic()
     candidates = [
       self._searcher.selector.make_candidate(u, planned.get(name, 0), now)
@@ -412,8 +406,14 @@
       self._observe_cancelled(group, started)
       raise
     now = clock.read_monotonic()
+    expected = replies.Expected(
+      exchange,
+      self._pin.manifest.snapshot,
+      tuple(self._entries[shard] for shard in group.shards),
+      self._merge,
+    )
     checked = outcome.bind(
-      lambda delivered: self._check_reply(group, exchange, delivered)
+      lambda delivered: replies.check_reply(delivered, expected)
     )
     took_s = outcome.ok.took_s if outcome.is_ok() else 0.0
     self._observe(group, checked, took_s, now)
@@ -443,40 +443,6 @@
       priority=self._priority,
     )
 
-  def _check_reply(
-    self, group: _Group, exchange: str, delivered: dispatch.Delivered
-  ) -> Result[dict[int, merges.Part], exceptions.BronzefoldError]:
-    """Checks that a reply is the whole answer to this exchange."""
-    if delivered.status == 409:
-      return Error(exceptions.SnapshotGoneError(group.usable.entry.name))
-    if delivered.status != 200:
-      return Error(exceptions.UpstreamFailedError(f"{delivered.status}"))
-    try:
-      reply = msgspec.json.decode(delivered.body, type=messages.SearchReply)
-      parts = {
-        result.shard: merges.decode_part(self._merge, result.result)
-        for result in reply.results
-      }
-    except msgspec.MsgspecError as error:
-      return Error(exceptions.MalformedReplyError(str(error)))
-    if reply.request != exchange:
-      return Error(exceptions.MalformedReplyError("answers another request"))
-    if reply.snapshot != self._pin.manifest.snapshot:
-      return Error(exceptions.SnapshotGoneError("answers another snapshot"))
-    if not self._covers(group, reply):
-      return Error(exceptions.MalformedReplyError("covers other records"))
-    return Ok(parts)
-
-  def _covers(self, group: _Group, reply: messages.SearchReply) -> bool:
-    said = [
-      ranges.ShardEntry(r.shard, r.low, r.high, r.records)
-      for r in reply.results
-    ]
-    wanted = [self._entries[shard] for shard in group.shards]
-    return sorted(said, key=lambda entry: entry.shard) == sorted(
-      wanted, key=lambda entry: entry.shard
-    )
-
   def _observe(
     self,
     group: _Group,
--- a/packages/node/src/bronzefold/node/session.py
+++ b/packages/node/src/bronzefold/node/session.py
@@ -162,11 +162,8 @@
     own = self._members.own
     if self._registered_state == own.state:
       return
-    record = configuration.NodeRecord(
-      own.node, own.zone, own.state, own.caller_address, own.peer_address
-    )
     key = keys.NODE_PREFIX + own.node
-    value = msgspec.json.encode(record).decode()
+    value = msgspec.json.encode(own).decode()
     current = await self._client.get(key)
     expected = current.revision if current else 0
     await self._client.put(key, value, expected, self._lease.lease)
--- a/packages/node/src/bronzefold/node/versions.py
+++ b/packages/node/src/bronzefold/node/versions.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import attrs
 import xxhash
@@ -15,6 +16,7 @@
 from bronzefold.core.clock import Seconds
 from bronzefold.node import budgets
 from bronzefold.node import configuration
+from bronzefold.node import selection
 from bronzefold.node import significance
 from bronzefold.node import status
 
@@ -256,6 +258,27 @@
         return name
     return max(shares, key=shares.__getitem__)
 
+  def narrow(
+    self,
+    document: documents.Document,
+    usable: Sequence[selection.Usable],
+    version: str | None,
+  ) -> list[selection.Usable]:
+    """Keeps the upstreams whose version should serve a request.
+
+    Args:
+      document: The service's document.
+      usable: The upstreams that may serve it; at least one.
+      version: The version chosen for it, None if any stable one will do.
+
+    Returns:
+      Those of the version, else those of stable versions, else all.
+    """
+    stable = self.get_stable_versions(document)
+    chosen = [u for u in usable if u.entry.version == version]
+    chosen = chosen or [u for u in usable if u.entry.version in stable]
+    return chosen or list(usable)
+
   def observe(
     self,
     document: documents.Document,
--- a/packages/peers/src/bronzefold/peers/links.py
+++ b/packages/peers/src/bronzefold/peers/links.py
@@ -128,7 +128,6 @@
     self._outgoing: list[Any] = []
     self._wake = anyio.Event()
     self._scope = anyio.CancelScope()
-    self.bytes_sent = 0
     self.control_bytes_sent = 0
     self._socket = context.socket(zmq.PUSH)
     # Without a connection a message is refused at once, not kept for later.
@@ -171,7 +170,6 @@
     self._count(contents, parts)
 
   def _count(self, contents: list[Any], parts: list[bytes]) -> None:
-    self.bytes_sent += sum(map(len, parts))
     bodies = parts[4::2]
     self.control_bytes_sent += sum(
       len(body)
--- a/packages/upstreams/src/bronzefold/upstreams/ramp.py
+++ b/packages/upstreams/src/bronzefold/upstreams/ramp.py
@@ -58,11 +58,6 @@
     """The upstream's latency while warm, None when not known."""
     return self._baseline_s
 
-  def set_baseline(self, latency_s: Seconds) -> None:
-    """Sets the latency expected of a warm upstream unless one is known."""
-    if self._baseline_s is None:
-      self._baseline_s = latency_s
-
   def expect_warm(self, instance: str, latency_s: Seconds) -> None:
     """Takes over an upstream that its previous owner knew to be warm.
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -25,6 +25,8 @@
 
 from tests.standins import records
 
+SHARDS_PER_ROUND = 8
+
 _NOT_RUN = {"x-not-run": "true"}
 
 
@@ -82,11 +84,11 @@
     finally:
       held.discard(token)
 
-  async def work(self, route: str) -> None:
+  async def work(self, route: str, rounds: float = 1.0) -> None:
     bad_route = self.faults.get("route") in (None, route)
     under_load = len(self.held) >= self.faults.get("bad_from_load", 0)
     faulty = bad_route and under_load
-    took_s = self.service_s * self.generator.uniform(0.7, 1.3)
+    took_s = self.service_s * rounds * self.generator.uniform(0.7, 1.3)
     took_s *= 1.0 if self.warm else 3.0
     if faulty:
       took_s *= self.faults.get("slow_factor", 1.0)
@@ -202,7 +204,9 @@
       return self.reply(request, {"snapshots": self.leaf.list_snapshots()}, 409)
     try:
       with self.leaf.enter():
-        await run_while_connected(request, self.leaf.work(body["route"]))
+        rounds = len(body["shards"]) / SHARDS_PER_ROUND
+        work = self.leaf.work(body["route"], rounds)
+        await run_while_connected(request, work)
     except RuntimeError:
       return self.reply(request, {}, 500)
     return self.reply(request, self.alter(self.answer_search(body)))
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -77,7 +77,7 @@
 
   def test_slower_upstream_is_not_cold_forever(self):
     ramp = upstreams.ColdStartRamp(2, 1, 2.0)
-    ramp.set_baseline(0.001)
+    ramp.expect_warm("zero", 0.001)
     ramp.confirm("one", 0.0)
     self.warm_up(ramp, 0.0)
     self.assertTrue(ramp.warm)
