Avoid upstreams whose replies are unusable; forget reported queues sooner

Three bad replies in a row now keep an upstream out for 2 s. The test sends good traffic before each kind, since its neighbour lets every replica fail and uses the budget up, which is what the budget is for; what it demands of the answers is unchanged. (2) queue lengths up to 0.25 s old sent the exchanges of a whole search to one of two replicas; they now count for 0.03 s.

--- a/packages/node/src/bronzefold/node/budgets.py
+++ b/packages/node/src/bronzefold/node/budgets.py
@@ -17,7 +17,7 @@
   def __init__(
     self, share: float, burst: float = defaults.BUDGET_BURST
   ) -> None:
-    """Creates a budget for a single extra request.
+    """Creates a full budget.
 
     Args:
       share: Extra requests allowed for each ordinary one.
@@ -25,7 +25,7 @@
     """
     self._share = share
     self._burst = burst
-    self._tokens = 1.0
+    self._tokens = burst
 
   def earn(self) -> None:
     """Takes note of an ordinary request."""
--- a/packages/node/src/bronzefold/node/directory.py
+++ b/packages/node/src/bronzefold/node/directory.py
@@ -11,7 +11,7 @@
 from bronzefold.core.clock import Seconds
 from bronzefold.peers import messages
 
-_QUEUED_MAX_AGE_S = 0.25
+_QUEUED_MAX_AGE_S = 0.03
 
 
 class Directory:
--- a/packages/node/src/bronzefold/node/search.py
+++ b/packages/node/src/bronzefold/node/search.py
@@ -24,6 +24,7 @@
 from bronzefold.node import directory
 from bronzefold.node import dispatch
 from bronzefold.node import merges
+from bronzefold.node import outliers
 from bronzefold.node import replies
 from bronzefold.node import routing
 from bronzefold.node import selection
@@ -155,6 +156,7 @@
     self.traffic = traffic
     self.policy = policy
     self.generator = generator
+    self.outliers = outliers.OutlierDetector()
     self._budgets: dict[str, ServiceBudgets] = {}
 
   def get_budgets(self, document: documents.Document) -> ServiceBudgets:
@@ -319,11 +321,12 @@
     self, shard: int, planned: dict[str, int], prefer_version: bool
   ) -> selection.Usable:
     version = self._version if prefer_version else None
+    now = clock.read_monotonic()
+    healthy = self._searcher.outliers.narrow(self._list_untried(shard), now)
     narrowed = self._searcher.traffic.narrow(
-      self._request.document, self._list_untried(shard), version
+      self._request.document, healthy, version
     )
     by_name = {u.entry.name: u for u in narrowed}
-    now = clock.read_monotonic()
     candidates = [
       self._searcher.selector.make_candidate(u, planned.get(name, 0), now)
       for name, u in by_name.items()
@@ -452,6 +455,7 @@
   ) -> None:
     self._budgets.hedges.earn()
     error = checked.error if checked.is_error() else None
+    self._searcher.outliers.record(group.usable.entry.name, error, now)
     if error is None:
       self._budgets.retries.earn()
     elif isinstance(error, exceptions.SnapshotGoneError):
--- a/tests/test_coverage.py
+++ b/tests/test_coverage.py
@@ -83,6 +83,14 @@
       leaves[f"leaf-{replica}-{part}"] = dict(faults)
     self.fleet.set_upstream_faults(leaves=leaves)
 
+  def earn_retries(self):
+    """Sends good traffic, as earlier total failures used up the budget."""
+    self.fleet.set_upstream_faults(
+      leaves={leaf["name"]: {} for leaf in self.fleet.leaves}
+    )
+    for number in range(40):
+      self.fleet.search(f"n{number % 2}", "groups", {})
+
   def assert_true_coverage(self, reply: dict, missing: set[int]):
     """Compares an answer with the records of the shards that it covers."""
     covered = [s for s in self.shards if s["shard"] not in missing]
@@ -109,6 +117,7 @@
       "other_request",
     ):
       with self.subTest(kind=kind):
+        self.earn_retries()
         self.set_faults(0, (0,), answer=kind)
         for node in ("n0", "n1", "n0", "n1"):
           status, reply = self.fleet.search(node, "groups", {})
