--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -242,6 +242,29 @@
   return time.monotonic() - accepted
 
 
+@register_scenario
+def measure_cost(
+  options: Options, deployment: deployments.Deployment
+) -> Iterator[Row]:
+  """Processor time of all nodes for one search over 200 shards."""
+  for variant in ("tier", "direct"):
+    with run_fleet(deployment, _SERVICE_S, variant) as running:
+      before = _read_costs(running)
+      samples = send(running, options, options.rate, options.duration_s)
+      after = _read_costs(running)
+    spent_s = sum(a["cpu_s"] for a in after) - sum(b["cpu_s"] for b in before)
+    per_search_ms = spent_s * 1e3 / max(1, len(samples))
+    exchanges = deployments.count_exchanges(deployment)
+    yield Row(
+      "cost",
+      variant,
+      {
+        "cpu_ms_per_search": per_search_ms,
+        "cpu_ms_per_exchange": per_search_ms / exchanges,
+      },
+    )
+
+
 @register_scenario
 def measure_control(
   options: Options, deployment: deployments.Deployment
--- a/packages/node/src/bronzefold/node/ownership.py
+++ b/packages/node/src/bronzefold/node/ownership.py
@@ -246,29 +246,34 @@
       and self._choose_owner(entry, now) == self._own.node
     ]
     for document, entry in missing[:_MAX_CLAIMS_PER_ROUND]:
-      await self._claim(document, entry, tasks)
+      if not await self._claim(document, entry, tasks):
+        return
 
   async def _claim(
     self,
     document: documents.Document,
     entry: documents.UpstreamEntry,
     tasks: abc.TaskGroup,
-  ) -> None:
+  ) -> bool:
+    """Claims an upstream; returns False while the platform does not answer."""
     if self._own.direct:
       self._start(document, entry, 1, tasks)
-      return
+      return True
     lease = self._session.get_lease(clock.read_monotonic())
     if lease is None:
-      return
+      return False
     key = keys.OWNER_PREFIX + entry.name
     record = configuration.OwnerRecord(self._own.node)
     value = msgspec.json.encode(record).decode()
     try:
       revision = await self._client.put(key, value, 0, lease.lease)
+    except exceptions.ConflictError:
+      return True
     except exceptions.PlatformError:
       # A claim that took effect all the same shows up in the watch.
-      return
+      return False
     self._start(document, entry, revision, tasks)
+    return True
 
   def adopt_claims(self, tasks: abc.TaskGroup) -> None:
     """Starts holders for claims whose replies were lost."""
@@ -278,6 +283,8 @@
         continue
       if owner.term <= self._given_up.get(name, 0):
         continue
+      if not self._session.is_under_lease(owner.term):
+        continue
       if name not in self._held and name not in self._releasing:
         self._start(document, entry, owner.term, tasks)
 
@@ -321,8 +328,12 @@
     held = self._held.get(upstream)
     if held is None:
       return exceptions.NotOwnerError(upstream)
-    if self._own.direct or self._session.get_lease(now) is not None:
+    if self._own.direct:
       return self._check_admitted(upstream)
+    if self._session.get_lease(now) is not None:
+      if self._session.is_under_lease(held.term):
+        return self._check_admitted(upstream)
+      return exceptions.NotOwnerError(f"{upstream}: claimed by an old lease")
     if contact is membership.Contact.CURRENT:
       return exceptions.NotOwnerError(f"{upstream}: the lease has lapsed")
     if not warm and contact is not membership.Contact.OUTAGE_SEEN_BY_ALL:
--- a/packages/node/src/bronzefold/node/session.py
+++ b/packages/node/src/bronzefold/node/session.py
@@ -60,18 +60,31 @@
     self._members = members
     self._lease: HeldLease | None = None
     self._registered_state = ""
+    self._registered_at = 0
     self._reachable = True
-    self._watch_scope = anyio.CancelScope()
+    self._watch_scope: anyio.CancelScope | None = None
     self._confirmed = False
     self.leaving_vms: frozenset[str] = frozenset()
 
   def get_lease(self, now: clock.Seconds) -> HeldLease | None:
-    """Returns the lease, None unless it surely has not lapsed."""
+    """Returns the lease, None unless it surely has not lapsed.
+
+    It is withheld until this node is registered under it, so that every claim
+    attached to it has a higher revision than the registration.
+    """
     lease = self._lease
-    if lease is None or now >= lease.valid_until:
+    if lease is None or now >= lease.valid_until or not self._registered_at:
       return None
     return lease
 
+  def is_under_lease(self, revision: int) -> bool:
+    """True when a claim of this revision is attached to the present lease.
+
+    Claims that name this node but are older belong to an earlier process of
+    the same name; they may vanish at any moment.
+    """
+    return 0 < self._registered_at < revision
+
   async def run_lease(self) -> None:
     """Renews the lease and the registration until cancelled."""
     woken_at = clock.read_monotonic()
@@ -121,7 +134,8 @@
     """
     if now - last_at > self._own.lease_renewal_s + defaults.PAUSE_S:
       self._confirmed = False
-      self._watch_scope.cancel()
+      if self._watch_scope is not None:
+        self._watch_scope.cancel()
 
   async def run_vm_list(self) -> None:
     """Follows the platform's list of VMs until cancelled."""
@@ -152,6 +166,7 @@
       created = await self._client.create_lease(self._own.lease_ttl_s)
       number = created.lease
       self._registered_state = ""
+      self._registered_at = 0
     else:
       number = self._lease.lease
       await self._client.renew_lease(number)
@@ -166,8 +181,9 @@
     value = msgspec.json.encode(own).decode()
     current = await self._client.get(key)
     expected = current.revision if current else 0
-    await self._client.put(key, value, expected, self._lease.lease)
+    revision = await self._client.put(key, value, expected, self._lease.lease)
     self._registered_state = own.state
+    self._registered_at = self._registered_at or revision
 
   def _note_reachable(self, asked_at: clock.Seconds) -> None:
     if self._confirmed:
--- /dev/null
+++ b/tests/test_session.py
@@ -0,0 +1,92 @@
+"""The lease of a node and what is attached to it."""
+
+import unittest
+
+import anyio
+
+from bronzefold import platform
+from bronzefold.core import exceptions
+from bronzefold.core import settings
+from bronzefold.node import configuration
+from bronzefold.node import session
+from bronzefold.peers import membership
+
+
+class LeasingPlatform:
+  """The calls of a session; leases can lapse."""
+
+  def __init__(self) -> None:
+    self.revision = 10
+    self.leases: set[int] = set()
+    self.entries: dict[str, platform.Entry] = {}
+    self.lose_registration = False
+
+  async def create_lease(self, ttl_s: float) -> platform.Lease:
+    lease = len(self.leases) + self.revision
+    self.leases.add(lease)
+    return platform.Lease(lease, ttl_s)
+
+  async def renew_lease(self, lease: int) -> None:
+    if lease not in self.leases:
+      raise exceptions.LeaseLapsedError(str(lease))
+
+  async def get(self, key: str) -> platform.Entry | None:
+    return self.entries.get(key)
+
+  async def put(self, key: str, value: str, expected: int, lease: int) -> int:
+    if self.lose_registration:
+      raise exceptions.PlatformUnavailableError("lost")
+    self.revision += 1
+    self.entries[key] = platform.Entry(key, value, self.revision)
+    return self.revision
+
+
+class SessionTest(unittest.TestCase):
+  """One node's session on a platform in memory."""
+
+  def setUp(self):
+    self.platform = LeasingPlatform()
+    own = settings.Settings(
+      "n0", "a", "f", "s", "1.1.1.1:1", "1.1.1.1:2", ("1.1.1.1:3",)
+    )
+    member = membership.Member("n0", "a", "serving", "1.1.1.1:1", "1.1.1.1:2")
+    members = membership.Membership(member, 2.5)
+    self.session = session.PlatformSession(
+      own, self.platform, configuration.Configuration(), members
+    )
+
+  def run_lease(self, seconds: float = 0.05) -> None:
+    async def run() -> None:
+      with anyio.move_on_after(seconds):
+        await self.session.run_lease()
+
+    anyio.run(run)
+
+  def test_lease_is_withheld_until_registered(self):
+    self.platform.lose_registration = True
+    self.run_lease()
+    self.assertIsNone(self.session.get_lease(0.0))
+    self.platform.lose_registration = False
+    self.run_lease()
+    self.assertIsNotNone(self.session.get_lease(0.0))
+
+  def test_claims_of_an_earlier_process_are_not_under_the_lease(self):
+    self.assertFalse(self.session.is_under_lease(10))
+    self.run_lease()
+    self.assertFalse(self.session.is_under_lease(10))
+    self.assertFalse(self.session.is_under_lease(self.platform.revision))
+    self.assertTrue(self.session.is_under_lease(self.platform.revision + 1))
+
+  def test_claims_under_a_lapsed_lease_are_not_under_the_next(self):
+    self.run_lease()
+    claimed = self.platform.revision + 1
+    self.platform.revision = claimed
+    self.assertTrue(self.session.is_under_lease(claimed))
+    self.platform.leases.clear()
+    self.run_lease()
+    self.assertIsNotNone(self.session.get_lease(0.0))
+    self.assertFalse(self.session.is_under_lease(claimed))
+
+
+if __name__ == "__main__":
+  unittest.main()
