--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -216,6 +216,12 @@
   def status(self, name: str) -> dict:
     return call("GET", self.address(name), "/v1/status")[1]
 
+  def read_metrics(self, name: str) -> str:
+    """Returns a node's metrics as text."""
+    with httpcore.ConnectionPool() as pool:
+      reply = pool.request("GET", f"http://{self.address(name)}/metrics")
+    return reply.content.decode()
+
   def _counts(self, control: int) -> tuple[int, dict]:
     return call("GET", f"127.0.0.1:{control}", "/counts")
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -82,6 +82,21 @@
     code, output = self.run_ctl("upstreams")
     self.assertEqual(code, 0, output)
 
+  def test_follow_prints_the_document_and_its_changes(self):
+    self.run_ctl("apply", self.write(self.fleet.make_document()))
+    code, output = self.run_ctl("--timeout_s=1", "follow", "fuel")
+    self.assertEqual(code, 0, output)
+    self.assertIn("document", output)
+    self.assertIn("depot-team", output)
+
+  def test_report_burn_writes_text_and_page(self):
+    self.run_ctl("apply", self.write(self.fleet.make_document()))
+    page = self.fleet.path / "burn.html"
+    code, output = self.run_ctl(f"--output={page}", "report", "burn")
+    self.assertEqual(code, 0, output)
+    self.assertIn("SERVICE ROUTE OBJECTIVE", output)
+    self.assertIn("<h2>fuel</h2>", page.read_text())
+
   def test_unknown_command_prints_the_usage(self):
     code, output = self.run_ctl("none")
     self.assertEqual(code, 2)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -85,5 +85,25 @@
     self.assertEqual((status, reply["error"]), (400, "bad_request"))
 
 
+class WideTest(unittest.TestCase):
+  """Eight nodes over 200 shards."""
+
+  def test_search_over_200_shards_equals_direct_answer(self):
+    held = records.make_records(7, 3000)
+    with fleet.Fleet(nodes=8, shards=200, records=3000) as running:
+      running.apply(running.make_document())
+      running.wait_warm()
+      for route, query in QUERIES.items():
+        for node in running.settings:
+          with self.subTest(route=route, node=node):
+            _, reply = running.search(node, route, query)
+            wanted = records.evaluate(route, query, held)
+            self.assertEqual(reply["result"], json.loads(json.dumps(wanted)))
+            self.assertEqual(reply["coverage"]["covered"], 3000)
+      metrics = running.read_metrics("n0")
+      self.assertIn("bronzefold_requests_total", metrics)
+      self.assertIn("bronzefold_coverage_share", metrics)
+
+
 if __name__ == "__main__":
   unittest.main()
