--- a/packages/core/src/bronzefold/core/exceptions.py
+++ b/packages/core/src/bronzefold/core/exceptions.py
@@ -96,6 +96,11 @@
   """The upstream refused the request before running it."""
 
 
+@register_error("upstream_draining", 503)
+class UpstreamDrainingError(UpstreamRefusedError):
+  """The upstream leaves and takes no new work."""
+
+
 @register_error("connect_failed", 503)
 class ConnectFailedError(NotRunError):
   """No connection to the upstream could be opened."""
--- a/packages/node/src/bronzefold/node/search.py
+++ b/packages/node/src/bronzefold/node/search.py
@@ -42,6 +42,7 @@
   exceptions.NotOwnerError,
   exceptions.NoUpstreamError,
   exceptions.ConnectFailedError,
+  exceptions.UpstreamDrainingError,
 )
 
 
--- a/packages/upstreams/src/bronzefold/upstreams/connection.py
+++ b/packages/upstreams/src/bronzefold/upstreams/connection.py
@@ -208,9 +208,9 @@
         )
       )
     if headers.get(messages.NOT_RUN_HEADER) == b"true":
-      draining = headers.get(messages.DRAINING_HEADER) == b"true"
-      detail = "draining" if draining else "shed"
-      return Error(exceptions.UpstreamRefusedError(detail))
+      if headers.get(messages.DRAINING_HEADER) == b"true":
+        return Error(exceptions.UpstreamDrainingError("draining"))
+      return Error(exceptions.UpstreamRefusedError("shed"))
     if response.status >= 500:
       return Error(exceptions.UpstreamFailedError(f"status {response.status}"))
     instance = headers.get(messages.INSTANCE_HEADER, b"").decode()
--- a/packages/upstreams/src/bronzefold/upstreams/holder.py
+++ b/packages/upstreams/src/bronzefold/upstreams/holder.py
@@ -248,7 +248,7 @@
     if not self._usable:
       return exceptions.NoUpstreamError(self.entry.name)
     if self._drained_at is not None:
-      return exceptions.UpstreamRefusedError("draining")
+      return exceptions.UpstreamDrainingError(self.entry.name)
     if self._failures >= _FAILURES_UNTIL_DOWN:
       return exceptions.ConnectFailedError(f"{self.entry.name} is down")
     wait_s = self._estimate_wait(job)
@@ -367,7 +367,7 @@
       self._ramp.record_success(outcome.ok.took_s, now)
       return
     match outcome.error:
-      case exceptions.UpstreamRefusedError(detail="draining"):
+      case exceptions.UpstreamDrainingError():
         self._drained_at = now
         self._queue.refuse_all(outcome.error)
       case exceptions.UpstreamRefusedError():
@@ -421,12 +421,22 @@
     self._ramp.confirm(status.instance, now)
     if status.state == "draining":
       self._drained_at = now
-      error = exceptions.UpstreamRefusedError("draining")
+      error = exceptions.UpstreamDrainingError(self.entry.name)
       self._queue.refuse_all(error)
-    else:
+    elif self._is_drain_over(now):
       self._drained_at = None
     self._notify()
 
+  def _is_drain_over(self, now: clock.Seconds) -> bool:
+    """True when a report may be believed again.
+
+    A report that says nothing of a drain may be older than the refusal that
+    showed it.
+    """
+    if self._drained_at is None:
+      return True
+    return now - self._drained_at > defaults.DRAIN_HOLD_S
+
   async def _fetch_manifests(self, link: connection.UpstreamConnection) -> None:
     wanted = {report.snapshot for report in self._status.snapshots}
     for snapshot in sorted(wanted - self._known_snapshots):
