--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core platform upstreams peers callers operators node
+PACKAGES := core store upstreams peers gateway callers operators node
 SEED ?= 1
 DURATION_S ?= 60
 
@@ -9,10 +9,10 @@
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.txt packages/*/pyproject.toml
+$(VENV)/.installed: requirements.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	touch $@
 
 demo: setup
--- a/packages/node/src/bronzefold/node/budgets.py
+++ b/packages/core/src/bronzefold/core/budgets.py
@@ -9,6 +9,7 @@
 
 _QUANTILE_SAMPLES = 512
 _QUANTILE_REFRESH = 64
+_WINDOW_SLICES = 10
 
 
 class ShareBudget:
@@ -71,3 +72,46 @@
     index = min(len(ordered) - 1, int(len(ordered) * self._quantile))
     self._estimate = ordered[index]
     self._since_refresh = 0
+
+
+class WindowBudget:
+  """Bounds extra requests in every span of a window's length.
+
+  The extra requests of a window stay within a share of the ordinary ones in
+  it and a constant. Counts are kept in slices of a tenth of the window.
+  """
+
+  def __init__(self, ratio: float, slack: float, window_s: Seconds) -> None:
+    """Creates a budget.
+
+    Args:
+      ratio: Extra requests for each ordinary one.
+      slack: Extra requests besides.
+      window_s: Length of the window.
+    """
+    self.ratio = ratio
+    self.slack = slack
+    self._window_s = window_s
+    self._slice_s = window_s / _WINDOW_SLICES
+    self._slices: collections.deque[list[float]] = collections.deque()
+
+  def earn(self, now: Seconds) -> None:
+    """Takes note of an ordinary request."""
+    self._get_slice(now)[1] += 1
+
+  def try_spend(self, now: Seconds) -> bool:
+    """Spends one extra request; False when none is left."""
+    current = self._get_slice(now)
+    ordinary = sum(counts[1] for counts in self._slices)
+    extra = sum(counts[2] for counts in self._slices)
+    if extra + 1 > self.ratio * ordinary + self.slack:
+      return False
+    current[2] += 1
+    return True
+
+  def _get_slice(self, now: Seconds) -> list[float]:
+    while self._slices and self._slices[0][0] <= now - self._window_s:
+      self._slices.popleft()
+    if not self._slices or self._slices[-1][0] <= now - self._slice_s:
+      self._slices.append([now, 0.0, 0.0])
+    return self._slices[-1]
--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -35,7 +35,18 @@
     if not logger.isEnabledFor(self.level):
       return
     line = {"event": self.number, "name": self.name, **fields}
-    logger.log(self.level, "%s", json.dumps(line, default=str))
+    extra = {"fields": line, "kind": self.name}
+    logger.log(self.level, "%s", _LazyJson(line), extra=extra)
+
+
+class _LazyJson:
+  """Formats a line only for handlers that want text."""
+
+  def __init__(self, line: dict[str, Any]) -> None:
+    self._line = line
+
+  def __str__(self) -> str:
+    return json.dumps(self._line, default=str)
 
 
 CATALOGUE: dict[int, Event] = {}
@@ -96,6 +107,15 @@
 FRAME_REFUSED = _register(
   300, "frame_refused", logging.WARNING, "A frame did not come from a node."
 )
+SETTINGS_RELOADED = _register(
+  106, "settings_reloaded", logging.INFO, "The settings were read again."
+)
+SETTINGS_REFUSED = _register(
+  107,
+  "settings_refused",
+  logging.ERROR,
+  "The settings file is invalid; the settings in force stay.",
+)
 UPSTREAM_CLAIMED = _register(
   400, "upstream_claimed", logging.INFO, "The node now owns an upstream."
 )
@@ -120,3 +140,30 @@
   logging.ERROR,
   "An action has an unknown outcome; a person must look.",
 )
+ROUTES_APPLIED = _register(
+  700, "routes_applied", logging.INFO, "A configuration is in force."
+)
+INSTANCE_CHANGED = _register(
+  701, "instance_changed", logging.INFO, "A registered upstream has changed."
+)
+ZONE_CHANGED = _register(
+  702, "zone_changed", logging.INFO, "A zone was taken out or back in."
+)
+ENTRY_REFUSED = _register(
+  703, "entry_refused", logging.WARNING, "An entry of the store is unusable."
+)
+NODE_CHANGED = _register(
+  704, "node_changed", logging.INFO, "A node registered or is gone."
+)
+HISTORY_GONE = _register(
+  705,
+  "history_gone",
+  logging.WARNING,
+  "The store has forgotten changes; everything is read again.",
+)
+REQUEST_ANSWERED = _register(
+  710, "request_answered", logging.INFO, "A request has its final answer."
+)
+REQUEST_CANCELLED = _register(
+  711, "request_cancelled", logging.INFO, "The caller left before the answer."
+)
--- a/packages/core/src/bronzefold/core/exceptions.py
+++ b/packages/core/src/bronzefold/core/exceptions.py
@@ -227,6 +227,10 @@
   """The lease no longer exists."""
 
 
+class HistoryGoneError(PlatformError):
+  """The store no longer knows the changes behind a revision."""
+
+
 class PeerFrameError(BronzefoldError):
   """A frame did not come from a node of this fleet."""
 
@@ -237,4 +241,5 @@
 register_error("platform_unavailable", 503)(PlatformUnavailableError)
 register_error("conflict", 409)(ConflictError)
 register_error("lease_lapsed", 503)(LeaseLapsedError)
+register_error("history_gone", 503)(HistoryGoneError)
 register_error("peer_frame", 400)(PeerFrameError)
--- /dev/null
+++ b/packages/core/src/bronzefold/core/logs.py
@@ -0,0 +1,81 @@
+"""JSON log lines on standard output, bounded and never blocking."""
+
+from __future__ import annotations
+
+import collections
+import json
+import logging
+import os
+import sys
+import time
+
+MAX_LINES_PER_EVENT = 40
+PERIOD_S = 1.0
+_STDOUT = 1
+
+
+class BoundedHandler(logging.Handler):
+  """Writes a bounded number of lines for each kind of event and second.
+
+  Lines above the bound are counted and told in a line of their own. When
+  nobody reads standard output, lines are dropped and counted as well.
+  """
+
+  def __init__(self, descriptor: int = _STDOUT) -> None:
+    """Creates a handler.
+
+    Args:
+      descriptor: Where to write; it is made non-blocking.
+    """
+    super().__init__()
+    os.set_blocking(descriptor, False)
+    self._descriptor = descriptor
+    self._period_started = 0.0
+    self._counts: collections.Counter[str] = collections.Counter()
+    self._suppressed: collections.Counter[str] = collections.Counter()
+
+  def emit(self, record: logging.LogRecord) -> None:
+    """Writes a record unless its kind has used up its lines."""
+    now = time.monotonic()
+    if now - self._period_started >= PERIOD_S:
+      self._period_started = now
+      self._counts.clear()
+      self._tell_suppressed()
+    kind = getattr(record, "kind", record.name)
+    self._counts[kind] += 1
+    if self._counts[kind] > MAX_LINES_PER_EVENT:
+      self._suppressed[kind] += 1
+      return
+    fields = getattr(record, "fields", None)
+    if fields is None:
+      fields = {"name": record.name, "message": record.getMessage()}
+      if record.exc_info:
+        fields["error"] = repr(record.exc_info[1])
+    line = {
+      "at": round(record.created, 3),
+      "level": record.levelname.lower(),
+      **fields,
+    }
+    self._write(kind, line)
+
+  def _tell_suppressed(self) -> None:
+    if not self._suppressed:
+      return
+    counts, self._suppressed = dict(self._suppressed), collections.Counter()
+    line = {"at": round(time.time(), 3), "name": "suppressed", "counts": counts}
+    self._write("suppressed", line)
+
+  def _write(self, kind: str, line: dict) -> None:
+    data = json.dumps(line, default=str, separators=(",", ":")).encode()
+    try:
+      os.write(self._descriptor, data + b"\n")
+    except OSError:
+      # Nobody reads, or the pipe is gone; the count tells it later.
+      self._suppressed[kind] += 1
+
+
+def configure_logs(level: int = logging.INFO) -> None:
+  """Sends all log records to standard output as bounded JSON lines."""
+  logging.basicConfig(
+    handlers=[BoundedHandler(sys.stdout.fileno())], level=level, force=True
+  )
--- /dev/null
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -0,0 +1,232 @@
+"""The central object: decides what becomes of each request."""
+
+from __future__ import annotations
+
+import logging
+
+from anyio import abc
+
+from bronzefold.core import budgets
+from bronzefold.core import clock
+from bronzefold.core import events
+from bronzefold.core.clock import Seconds
+from bronzefold.gateway import changes
+from bronzefold.gateway import inventory
+from bronzefold.gateway import merges
+from bronzefold.gateway import model
+from bronzefold.gateway import queries
+from bronzefold.gateway import routing
+from bronzefold.gateway import sending
+from bronzefold.gateway import settings
+
+HEDGE_QUANTILE = 0.95
+RETRY_AFTER_S = 0.05
+NOT_READY_RETRY_AFTER_S = 0.3
+EXTRA_SHARE = 0.9
+SLACK_SHARE = 0.6
+FORGET_AFTER_S = 30.0
+
+_logger = logging.getLogger(__name__)
+
+
+class Gateway:
+  """Serves requests by the configuration and the upstreams that it knows.
+
+  Attributes:
+    configuration: The configuration in force; None before the first.
+    upstreams: The upstreams.
+    node_count: Nodes among which limits are divided.
+  """
+
+  def __init__(
+    self,
+    own: settings.GatewaySettings,
+    protocol: sending.UpstreamProtocol,
+    tasks: abc.TaskGroup,
+  ) -> None:
+    """Creates a gateway without a configuration.
+
+    Args:
+      own: Settings of this node.
+      protocol: Wire format towards upstreams.
+      tasks: Task group for work that outlives a request.
+    """
+    self.configuration: model.Configuration | None = None
+    self.upstreams = inventory.Inventory(self._share_connections)
+    self.node_count = own.assumed_nodes
+    self._own = own
+    self._table: routing.RouteTable | None = None
+    self._splits = routing.SplitCounter()
+    self._budgets: dict[str, budgets.WindowBudget] = {}
+    self._latencies: dict[str, budgets.LatencyQuantile] = {}
+    self._means = queries.Means(
+      sending.Sender(protocol, tasks),
+      self.upstreams,
+      own.zone,
+      self._get_budget,
+      self._latencies,
+    )
+
+  def set_node_count(self, count: int) -> None:
+    """Divides all limits among ``count`` nodes from now on."""
+    if count == self.node_count:
+      return
+    self.node_count = count
+    self.upstreams.update_limits()
+    for budget in self._budgets.values():
+      budget.slack = self._share_slack()
+
+  def update_settings(self, own: settings.GatewaySettings) -> None:
+    """Puts changed bounds in force."""
+    self._own = own
+    for budget in self._budgets.values():
+      budget.ratio = EXTRA_SHARE * own.retry_ratio
+      budget.slack = self._share_slack()
+
+  def apply(self, change: changes.Change, now: Seconds) -> None:
+    """Applies a change that the store has acknowledged."""
+    changes.apply_change(self, change, now)
+
+  def set_configuration(self, configuration: model.Configuration) -> bool:
+    """Puts a configuration in force unless it is older than the present one.
+
+    Returns:
+      True when it is in force now and was not before.
+    """
+    current = self.configuration
+    if current is not None and configuration.version <= current.version:
+      return False
+    self.configuration = configuration
+    self._table = routing.RouteTable(configuration)
+    self.upstreams.update_limits()
+    events.ROUTES_APPLIED.log(
+      _logger,
+      version=configuration.version,
+      routes=len(configuration.routes),
+      replaced=current.version if current else None,
+    )
+    return True
+
+  async def handle(self, request: model.Request) -> model.Answer:
+    """Answers a request.
+
+    Args:
+      request: The request, read whole.
+
+    Returns:
+      The answer. A refusal with 503 promises that the request did not run.
+    """
+    now = clock.read_monotonic()
+    if self._table is None:
+      return _refuse("no_configuration", NOT_READY_RETRY_AFTER_S)
+    if len(request.body) > self.configuration.limits.body_bytes:
+      return model.Answer(413, outcome="body_too_large")
+    route = self._table.find(request.host, request.path)
+    if route is None:
+      return model.Answer(404, outcome="no_route")
+    budget_s = min(route.timeout_s, request.budget_s or route.timeout_s)
+    deadline = request.received_at + budget_s
+    services = route.shards or (self._splits.choose(route),)
+    if route.name not in self._latencies:
+      self._latencies[route.name] = budgets.LatencyQuantile(HEDGE_QUANTILE)
+    query = queries.Query(self._means, request, route, services, deadline)
+    await query.run(now)
+    answer = (
+      _answer_search(query, route) if route.shards else _answer_plain(query)
+    )
+    self._log(request, route, query, answer)
+    return answer
+
+  def _log(
+    self,
+    request: model.Request,
+    route: model.Route,
+    query: queries.Query,
+    answer: model.Answer,
+  ) -> None:
+    took_s = clock.read_monotonic() - request.received_at
+    late = [
+      shard.service
+      for shard in query.shards
+      if shard.part is None or len(shard.attempts) > 1
+    ]
+    events.REQUEST_ANSWERED.log(
+      _logger,
+      request=request.id.decode("latin-1"),
+      route=route.name,
+      version=self.configuration.version,
+      outcome=answer.outcome,
+      status=answer.status,
+      took_ms=round(took_s * 1e3, 1),
+      parts=len(query.parts),
+      missing=answer.missing,
+      hedges=query.hedges,
+      retries=query.retries,
+      tries=[
+        _describe(shard) for shard in query.shards if shard.service in late
+      ],
+    )
+
+  def _share_connections(self, service: str) -> int:
+    known = self.configuration and self.configuration.services.get(service)
+    if not known:
+      return 1
+    return max(1, known.max_connections // self.node_count)
+
+  def _share_slack(self) -> float:
+    return SLACK_SHARE * self._own.retry_slack / self.node_count
+
+  def _get_budget(self, service: str) -> budgets.WindowBudget:
+    budget = self._budgets.get(service)
+    if budget is None:
+      budget = self._budgets[service] = budgets.WindowBudget(
+        EXTRA_SHARE * self._own.retry_ratio,
+        self._share_slack(),
+        self._own.retry_window_s,
+      )
+    return budget
+
+
+def _describe(shard: queries.Shard) -> list[str]:
+  return [shard.service] + [
+    f"{attempt.upstream.instance.id}:{attempt.ending.value}"
+    for attempt in shard.attempts
+  ]
+
+
+def _refuse(outcome: str, retry_after_s: Seconds) -> model.Answer:
+  return model.Answer(503, retry_after_s=retry_after_s, outcome=outcome)
+
+
+def _answer_search(query: queries.Query, route: model.Route) -> model.Answer:
+  parts = [shard.part for shard in query.parts]
+  if not parts or len(parts) < route.min_coverage * len(query.shards) - 1e-9:
+    return _refuse("coverage_too_small", RETRY_AFTER_S)
+  missing = len(query.shards) - len(parts)
+  return model.Answer(
+    200,
+    body=merges.merge_parts((part.body for part in parts), route.top_k),
+    seals=tuple(part.seal for part in parts),
+    missing=missing,
+    outcome="partial" if missing else "served",
+  )
+
+
+def _answer_plain(query: queries.Query) -> model.Answer:
+  (shard,) = query.shards
+  if shard.part is not None:
+    return _pass_on(shard.part, "served")
+  failures = [a for a in shard.attempts if a.ending is sending.Ending.FAILED]
+  if failures:
+    return _pass_on(failures[-1].reply, "upstream_failed")
+  if not shard.may_have_run:
+    return _refuse("not_run", RETRY_AFTER_S)
+  if shard.has_pending:
+    return model.Answer(504, outcome="timed_out")
+  return model.Answer(502, outcome="answer_lost")
+
+
+def _pass_on(reply: model.Reply, outcome: str) -> model.Answer:
+  return model.Answer(
+    reply.status, reply.headers, reply.body, reply.seal, outcome=outcome
+  )
--- /dev/null
+++ b/packages/gateway/src/bronzefold/gateway/program.py
@@ -0,0 +1,183 @@
+"""The process of a gateway node: servers, signals and background tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import contextlib
+import gc
+import logging
+import signal
+import sys
+
+import anyio
+from anyio import abc
+import attrs
+import uvicorn
+
+from bronzefold import store
+from bronzefold.core import events
+from bronzefold.core import exceptions
+from bronzefold.core import logs
+from bronzefold.core import supervision
+from bronzefold.gateway import application
+from bronzefold.gateway import fleet
+from bronzefold.gateway import following
+from bronzefold.gateway import gateway as gateways
+from bronzefold.gateway import sending
+from bronzefold.gateway import settings
+
+STORE_TIMEOUT_S = 1.0
+LINGER_S = 2.5
+STOP_MARGIN_S = 0.5
+KEEP_ALIVE_S = 75
+BACKLOG = 512
+
+_EXIT_BAD_SETTINGS = 2
+_COLLECTOR_THRESHOLDS = (20_000, 20, 50)
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class Translation:
+  """Everything that knows the formats of the platform around a node.
+
+  Attributes:
+    load_settings: Reads the settings file.
+    read_change: Reads an entry of the store.
+    store_dialect: Writes and reads calls to the store.
+    upstream_protocol: Wire format towards upstreams.
+    caller_protocol: Wire format towards callers.
+  """
+
+  load_settings: Callable[[], settings.GatewaySettings]
+  read_change: following.ReadChange
+  store_dialect: store.Dialect
+  upstream_protocol: sending.UpstreamProtocol
+  caller_protocol: application.CallerProtocol
+
+
+class Program:
+  """One node."""
+
+  def __init__(
+    self,
+    translation: Translation,
+    own: settings.GatewaySettings,
+    tasks: abc.TaskGroup,
+  ) -> None:
+    """Creates a node; ``run`` serves.
+
+    Args:
+      translation: Formats of the platform.
+      own: Settings.
+      tasks: Task group for background work.
+    """
+    self._translation = translation
+    self._own = own
+    self._tasks = tasks
+    self._gateway = gateways.Gateway(own, translation.upstream_protocol, tasks)
+    self._members = fleet.Fleet(own)
+    client = store.StoreClient(
+      [own.store_address], STORE_TIMEOUT_S, translation.store_dialect
+    )
+    self._follower = following.StoreFollower(
+      own, client, self._gateway, self._members, translation.read_change
+    )
+    self._application = application.Application(
+      own, self._gateway, self._members, translation.caller_protocol
+    )
+    self._server = _Server(self._make_server_config())
+
+  async def run(self) -> None:
+    """Serves until a signal stops the node."""
+    events.NODE_STARTED.log(_logger, node=self._own.node, zone=self._own.zone)
+    sockets = self._application.open_sockets(BACKLOG)
+    self._members.is_serving = True
+    self._tasks.start_soon(self._handle_signals)
+    self._tasks.start_soon(supervision.supervise, self._follower.run_watch)
+    self._tasks.start_soon(supervision.supervise, self._follower.run_lease)
+    await self._server.serve(sockets=sockets)
+    events.NODE_STOPPED.log(_logger, node=self._own.node)
+
+  async def _handle_signals(self) -> None:
+    with anyio.open_signal_receiver(
+      signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as received:
+      async for number in received:
+        if number == signal.SIGHUP:
+          self._reload()
+        else:
+          break
+    await self._leave()
+
+  def _reload(self) -> None:
+    try:
+      own = self._translation.load_settings()
+    except exceptions.SettingsError as error:
+      events.SETTINGS_REFUSED.log(_logger, reason=error.detail)
+      return
+    self._gateway.update_settings(own)
+    events.SETTINGS_RELOADED.log(_logger, node=own.node)
+
+  async def _leave(self) -> None:
+    """Goes out of the directory at once, then stops accepting."""
+    events.NODE_LEAVING.log(_logger, node=self._own.node)
+    self._members.is_serving = False
+    self._application.is_leaving = True
+    self._tasks.start_soon(self._follower.leave)
+    await anyio.sleep(LINGER_S)
+    self._server.should_exit = True
+
+  def _make_server_config(self) -> uvicorn.Config:
+    rest_s = self._own.stop_limit_s - LINGER_S - STOP_MARGIN_S
+    return uvicorn.Config(
+      self._application,
+      log_config=None,
+      access_log=False,
+      http="httptools",
+      ws="none",
+      lifespan="off",
+      proxy_headers=False,
+      server_header=False,
+      date_header=False,
+      timeout_keep_alive=KEEP_ALIVE_S,
+      timeout_graceful_shutdown=max(1, int(rest_s)),
+      backlog=BACKLOG,
+    )
+
+
+class _Server(uvicorn.Server):
+  """A uvicorn server that leaves signals to the program."""
+
+  def capture_signals(self) -> contextlib.AbstractContextManager[None]:
+    """Captures no signals."""
+    return contextlib.nullcontext()
+
+
+async def _run(translation: Translation, own: settings.GatewaySettings) -> None:
+  gc.collect()
+  gc.freeze()
+  gc.set_threshold(*_COLLECTOR_THRESHOLDS)
+  async with anyio.create_task_group() as tasks:
+    await Program(translation, own, tasks).run()
+    tasks.cancel_scope.cancel()
+
+
+def run_program(translation: Translation) -> int:
+  """Runs a node until it is stopped.
+
+  Args:
+    translation: Formats of the platform.
+
+  Returns:
+    The exit code: 0 after a graceful stop, 2 for invalid settings.
+  """
+  logs.configure_logs()
+  try:
+    own = translation.load_settings()
+  except exceptions.SettingsError as error:
+    print(error.detail, file=sys.stderr)
+    return _EXIT_BAD_SETTINGS
+  anyio.run(_run, translation, own, backend_options={"use_uvloop": True})
+  return 0
--- /dev/null
+++ b/packages/gateway/src/bronzefold/gateway/queries.py
@@ -0,0 +1,271 @@
+"""One request to the upstreams of one or more services.
+
+A plain request has one shard, a search has many. Both are sent, retried and
+hedged here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import math
+
+import anyio
+import attrs
+
+from bronzefold.core import budgets
+from bronzefold.core import clock
+from bronzefold.core.clock import Seconds
+from bronzefold.gateway import inventory
+from bronzefold.gateway import model
+from bronzefold.gateway import selection
+from bronzefold.gateway import sending
+
+ANSWER_RESERVE_S = 0.008
+MIN_HEDGE_DELAY_S = 0.008
+MAX_HEDGE_SHARE = 0.5
+FIRST_HEDGE_SHARE = 0.3
+MAX_REFUSALS = 3
+MIN_SEND_BUDGET_S = 0.002
+HEDGE_RETRY_S = 0.01
+TIMER_SLACK_S = 0.0005
+
+
+@attrs.define(eq=False)
+class Shard:
+  """What became of one service's part of a request.
+
+  Attributes:
+    service: Name of the service.
+    attempts: All attempts in order.
+    part: The first whole success.
+    failure: The last attempt that ended otherwise.
+    is_closed: True once no further attempt will be made.
+    hedge_at: Monotonic time of the next try to hedge.
+  """
+
+  service: str
+  attempts: list[sending.Attempt] = attrs.field(factory=list)
+  part: model.Reply | None = None
+  failure: sending.Attempt | None = None
+  is_closed: bool = False
+  hedge_at: Seconds = math.inf
+
+  @property
+  def has_pending(self) -> bool:
+    """True while an attempt is on its way."""
+    return any(
+      attempt.ending is sending.Ending.PENDING for attempt in self.attempts
+    )
+
+  @property
+  def may_have_run(self) -> bool:
+    """True unless every attempt certainly did not run."""
+    return any(
+      attempt.was_sent and attempt.ending is not sending.Ending.NOT_RUN
+      for attempt in self.attempts
+    )
+
+
+@attrs.define(eq=False)
+class Means:
+  """What queries share on a node.
+
+  Attributes:
+    sender: Starts attempts.
+    upstreams: The inventory.
+    zone: Availability zone of this node.
+    get_budget: Returns the budget of extra arrivals of a service.
+    latencies: Quantiles of latency by route, for hedging.
+  """
+
+  sender: sending.Sender
+  upstreams: inventory.Inventory
+  zone: str
+  get_budget: Callable[[str], budgets.WindowBudget]
+  latencies: dict[str, budgets.LatencyQuantile]
+
+
+class Query:
+  """A request in progress.
+
+  Attributes:
+    shards: Its shards.
+    hedges: Count of attempts beside one that had not ended.
+    retries: Count of attempts after one that had failed.
+  """
+
+  def __init__(
+    self,
+    means: Means,
+    request: model.Request,
+    route: model.Route,
+    services: Iterable[str],
+    deadline: Seconds,
+  ) -> None:
+    """Prepares a query.
+
+    Args:
+      means: What queries share.
+      request: The caller's request.
+      route: Its route, of the configuration in force at its arrival.
+      services: A service for each shard.
+      deadline: Monotonic time at which the answer is due.
+    """
+    self.shards = [Shard(service) for service in services]
+    self.hedges = 0
+    self.retries = 0
+    self._means = means
+    self._request = request
+    self._route = route
+    self._deadline = deadline
+    self._ended: list[tuple[Shard, sending.Attempt]] = []
+    self._wake = anyio.Event()
+    self._needed = math.ceil(route.min_coverage * len(self.shards) - 1e-9)
+    quantile = means.latencies.get(route.name)
+    self._hedge_after_s = _get_hedge_delay(route, quantile)
+
+  @property
+  def parts(self) -> list[Shard]:
+    """The shards that have succeeded."""
+    return [shard for shard in self.shards if shard.part is not None]
+
+  async def run(self, now: Seconds) -> None:
+    """Sends to all shards and waits until the answer is settled.
+
+    Args:
+      now: Monotonic time.
+    """
+    answer_at = self._request.received_at + self._route.objective_s
+    answer_at -= ANSWER_RESERVE_S
+    try:
+      for shard in self.shards:
+        self._means.get_budget(shard.service).earn(now)
+        self._try_send(shard, now)
+        shard.hedge_at = now + self._hedge_after_s
+      while not self._is_settled(answer_at, now):
+        wake_at = self._get_wake_time(answer_at, now)
+        with anyio.move_on_after(max(0.0, wake_at - now)):
+          await self._wake.wait()
+        self._wake = anyio.Event()
+        now = clock.read_monotonic()
+        self._take_ended(now)
+        self._send_hedges(now)
+    finally:
+      self._abandon_rest()
+
+  def _is_settled(self, answer_at: Seconds, now: Seconds) -> bool:
+    open_count = sum(
+      shard.part is None and not shard.is_closed for shard in self.shards
+    )
+    have = len(self.parts)
+    if not open_count or now >= self._deadline:
+      return True
+    if have + open_count < self._needed:
+      return True
+    return (
+      bool(self._route.shards) and now >= answer_at and have >= self._needed
+    )
+
+  def _get_wake_time(self, answer_at: Seconds, now: Seconds) -> Seconds:
+    times = [self._deadline]
+    if self._route.shards and answer_at > now:
+      times.append(answer_at)
+    times.extend(
+      shard.hedge_at for shard in self.shards if self._may_hedge(shard)
+    )
+    return min(times)
+
+  def _may_hedge(self, shard: Shard) -> bool:
+    return (
+      shard.part is None
+      and not shard.is_closed
+      and self._route.idempotent
+      and len(shard.attempts) < self._route.max_attempts
+    )
+
+  def _send_hedges(self, now: Seconds) -> None:
+    for shard in self.shards:
+      if not self._may_hedge(shard) or now < shard.hedge_at - TIMER_SLACK_S:
+        continue
+      before = len(shard.attempts)
+      self._send_extra(shard, now)
+      self.hedges += len(shard.attempts) - before
+      shard.hedge_at = now + HEDGE_RETRY_S
+
+  def _take_ended(self, now: Seconds) -> None:
+    ended, self._ended = self._ended, []
+    for shard, attempt in ended:
+      if shard.part is None:
+        self._take(shard, attempt, now)
+
+  def _take(self, shard: Shard, attempt: sending.Attempt, now: Seconds) -> None:
+    if attempt.ending is sending.Ending.SERVED:
+      shard.part = attempt.reply
+      quantile = self._means.latencies.get(self._route.name)
+      if quantile is not None:
+        quantile.record(now - attempt.started_at)
+      return
+    shard.failure = attempt
+    if self._may_retry(shard, attempt):
+      before = len(shard.attempts)
+      self._send_extra(shard, now)
+      self.retries += len(shard.attempts) - before
+    shard.is_closed = not shard.has_pending
+
+  def _may_retry(self, shard: Shard, attempt: sending.Attempt) -> bool:
+    ran = sum(a.ending is not sending.Ending.NOT_RUN for a in shard.attempts)
+    refused = len(shard.attempts) - ran
+    if ran >= self._route.max_attempts or refused >= MAX_REFUSALS:
+      return False
+    return self._route.idempotent or not shard.may_have_run
+
+  def _send_extra(self, shard: Shard, now: Seconds) -> None:
+    """Sends once more, if an upstream and the budget are there."""
+    self._try_send(shard, now, self._means.get_budget(shard.service))
+
+  def _try_send(
+    self,
+    shard: Shard,
+    now: Seconds,
+    budget: budgets.WindowBudget | None = None,
+  ) -> None:
+    left_s = self._deadline - now
+    candidates = self._means.upstreams.list_service(shard.service, now)
+    tried = {a.upstream.instance.id for a in shard.attempts}
+    chosen = selection.choose_upstream(candidates, tried, self._means.zone, now)
+    if chosen is None or left_s < MIN_SEND_BUDGET_S:
+      shard.is_closed = not shard.has_pending
+      return
+    if budget is not None and not budget.try_spend(now):
+      shard.is_closed = not shard.has_pending
+      return
+    attempt = self._means.sender.start(
+      self._request,
+      chosen,
+      left_s,
+      now,
+      lambda ended: self._note_end(shard, ended),
+    )
+    shard.attempts.append(attempt)
+
+  def _note_end(self, shard: Shard, attempt: sending.Attempt) -> None:
+    self._ended.append((shard, attempt))
+    self._wake.set()
+
+  def _abandon_rest(self) -> None:
+    for shard in self.shards:
+      for attempt in shard.attempts:
+        if attempt.ending is sending.Ending.PENDING:
+          self._means.sender.abandon(attempt)
+
+
+def _get_hedge_delay(
+  route: model.Route, quantile: budgets.LatencyQuantile | None
+) -> Seconds:
+  estimate = quantile.get_estimate() if quantile is not None else None
+  if estimate is None:
+    return FIRST_HEDGE_SHARE * route.objective_s
+  return min(
+    max(MIN_HEDGE_DELAY_S, estimate), MAX_HEDGE_SHARE * route.objective_s
+  )
--- /dev/null
+++ b/packages/gateway/src/bronzefold/gateway/settings.py
@@ -0,0 +1,44 @@
+"""Settings of a gateway node."""
+
+from __future__ import annotations
+
+import attrs
+
+from bronzefold.core.clock import Seconds
+
+ADDRESSES_KEEP_S = 2.0
+
+
+@attrs.frozen
+class GatewaySettings:
+  """Settings of one gateway node.
+
+  Attributes:
+    node: Name of the node.
+    zone: Availability zone of its VM.
+    request_address: IP:port for callers' requests.
+    readiness_address: IP:port for readiness checks.
+    directory_address: IP:port for questions of where to connect.
+    peer_address: IP:port for other nodes.
+    store_address: IP:port of the store.
+    retry_ratio: Extra arrivals at a service for each of its requests.
+    retry_slack: Extra arrivals besides, over all nodes.
+    retry_window_s: Window in which extra arrivals are counted.
+    stop_limit_s: Longest duration of a graceful stop.
+    addresses_keep_s: How long callers may keep an answer of the directory.
+    assumed_nodes: Nodes among which limits are divided until they are known.
+  """
+
+  node: str
+  zone: str
+  request_address: str
+  readiness_address: str
+  directory_address: str
+  peer_address: str
+  store_address: str
+  retry_ratio: float = 0.2
+  retry_slack: float = 0.0
+  retry_window_s: Seconds = 10.0
+  stop_limit_s: Seconds = 6.0
+  addresses_keep_s: Seconds = ADDRESSES_KEEP_S
+  assumed_nodes: int = 8
--- a/packages/node/src/bronzefold/node/burn.py
+++ b/packages/node/src/bronzefold/node/burn.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import burn
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 
 class BurnRecorder:
@@ -32,7 +32,7 @@
 class BurnKeeper:
   """Adds the fleet's counts to the histories on the platform."""
 
-  def __init__(self, client: platform.PlatformClient) -> None:
+  def __init__(self, client: store.StoreClient) -> None:
     """Creates a keeper.
 
     Args:
--- a/packages/node/src/bronzefold/node/claims.py
+++ b/packages/node/src/bronzefold/node/claims.py
@@ -11,9 +11,9 @@
 from expression import Result
 import msgspec
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import exceptions
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 RUNNING = "running"
 ENDED = "ended"
@@ -85,7 +85,7 @@
 class Claims:
   """Claims keys on the platform."""
 
-  def __init__(self, client: platform.PlatformClient) -> None:
+  def __init__(self, client: store.StoreClient) -> None:
     """Creates claims.
 
     Args:
--- a/packages/node/src/bronzefold/node/configuration.py
+++ b/packages/node/src/bronzefold/node/configuration.py
@@ -10,11 +10,11 @@
 import attrs
 import msgspec
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import documents
 from bronzefold.core import events
 from bronzefold.peers import membership
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 _MAX_DELETED_KEYS = 20_000
 
@@ -77,7 +77,7 @@
   term: int
 
 
-Listener = Callable[[platform.Entry], None]
+Listener = Callable[[store.Entry], None]
 
 
 class Configuration:
@@ -102,14 +102,14 @@
     self.nodes: dict[str, membership.Member] = {}
     self.rollouts: dict[str, RolloutRecord] = {}
     self.leader: Owned | None = None
-    self._entries: dict[str, platform.Entry] = {}
+    self._entries: dict[str, store.Entry] = {}
     self._listeners: list[Listener] = []
 
   def add_listener(self, listener: Listener) -> None:
     """Adds a function that is called after each change."""
     self._listeners.append(listener)
 
-  def get_entry(self, key: str) -> platform.Entry | None:
+  def get_entry(self, key: str) -> store.Entry | None:
     """Returns the entry of a key, None if it does not exist."""
     entry = self._entries.get(key)
     return entry if entry and entry.value is not None else None
@@ -119,16 +119,16 @@
     entry = self.get_entry(key)
     return entry.revision if entry else 0
 
-  def list_changes(self, after: int) -> tuple[platform.Entry, ...]:
+  def list_changes(self, after: int) -> tuple[store.Entry, ...]:
     """Lists the entries changed after a revision, deleted ones included."""
     changed = [e for e in self._entries.values() if e.revision > after]
     return tuple(sorted(changed, key=lambda entry: entry.revision))
 
-  def apply_listing(self, listing: platform.Listing) -> None:
+  def apply_listing(self, listing: store.Listing) -> None:
     """Applies a listing of all keys; keys that it lacks were deleted."""
     present = {entry.key for entry in listing.entries}
     deleted = [
-      platform.Entry(key, None, listing.revision)
+      store.Entry(key, None, listing.revision)
       for key, entry in self._entries.items()
       if key not in present
       and entry.value is not None
@@ -137,7 +137,7 @@
     self.apply_changes([*listing.entries, *deleted], listing.revision)
 
   def apply_changes(
-    self, entries: Iterable[platform.Entry], revision: int
+    self, entries: Iterable[store.Entry], revision: int
   ) -> None:
     """Applies changes.
 
@@ -152,7 +152,7 @@
     assert self.revision >= before, "configuration never reverts"
     self._prune()
 
-  def _apply_entry(self, entry: platform.Entry) -> None:
+  def _apply_entry(self, entry: store.Entry) -> None:
     known = self._entries.get(entry.key)
     if known is not None and known.revision >= entry.revision:
       return
@@ -167,7 +167,7 @@
     for listener in self._listeners:
       listener(entry)
 
-  def _interpret(self, entry: platform.Entry) -> str | None:
+  def _interpret(self, entry: store.Entry) -> str | None:
     """Takes over an entry; returns why its value is invalid, if it is."""
     for prefix, interpret in _INTERPRETERS.items():
       if entry.key.startswith(prefix):
@@ -190,7 +190,7 @@
   pass
 
 
-_Interpreter = Callable[[Configuration, str, platform.Entry], None]
+_Interpreter = Callable[[Configuration, str, store.Entry], None]
 _INTERPRETERS: dict[str, _Interpreter] = {}
 
 
@@ -206,7 +206,7 @@
 
 @register_interpreter(keys.DOCUMENT_PREFIX)
 def _interpret_document(
-  configuration: Configuration, name: str, entry: platform.Entry
+  configuration: Configuration, name: str, entry: store.Entry
 ) -> None:
   if entry.value is None:
     configuration.documents.pop(name, None)
@@ -221,7 +221,7 @@
 
 @register_interpreter(keys.ZONE_PREFIX)
 def _interpret_zone(
-  configuration: Configuration, name: str, entry: platform.Entry
+  configuration: Configuration, name: str, entry: store.Entry
 ) -> None:
   record = _decode(entry, ZoneRecord)
   if record is not None and record.state not in documents.ZONE_STATES:
@@ -231,7 +231,7 @@
 
 @register_interpreter(keys.OWNER_PREFIX)
 def _interpret_owner(
-  configuration: Configuration, name: str, entry: platform.Entry
+  configuration: Configuration, name: str, entry: store.Entry
 ) -> None:
   record = _decode(entry, OwnerRecord)
   owned = record and Owned(record.node, entry.revision)
@@ -240,27 +240,27 @@
 
 @register_interpreter(keys.NODE_PREFIX)
 def _interpret_node(
-  configuration: Configuration, name: str, entry: platform.Entry
+  configuration: Configuration, name: str, entry: store.Entry
 ) -> None:
   _set_or_remove(configuration.nodes, name, _decode(entry, membership.Member))
 
 
 @register_interpreter(keys.ROLLOUT_PREFIX)
 def _interpret_rollout(
-  configuration: Configuration, name: str, entry: platform.Entry
+  configuration: Configuration, name: str, entry: store.Entry
 ) -> None:
   _set_or_remove(configuration.rollouts, name, _decode(entry, RolloutRecord))
 
 
 @register_interpreter(keys.LEADER_KEY)
 def _interpret_leader(
-  configuration: Configuration, _: str, entry: platform.Entry
+  configuration: Configuration, _: str, entry: store.Entry
 ) -> None:
   record = _decode(entry, LeaderRecord)
   configuration.leader = record and Owned(record.node, entry.revision)
 
 
-def _decode(entry: platform.Entry, kind: type[_T]) -> _T | None:
+def _decode(entry: store.Entry, kind: type[_T]) -> _T | None:
   """Decodes an entry's value; None when the key was deleted."""
   if entry.value is None:
     return None
--- a/packages/node/src/bronzefold/node/gossip.py
+++ b/packages/node/src/bronzefold/node/gossip.py
@@ -18,7 +18,7 @@
 from bronzefold.node import versions
 from bronzefold.peers import membership
 from bronzefold.peers import messages
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 _SEED_PREFIX = "seed/"
 
--- a/packages/node/src/bronzefold/node/leadership.py
+++ b/packages/node/src/bronzefold/node/leadership.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from bronzefold import peers
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import clock
 from bronzefold.core import defaults
 from bronzefold.core import exceptions
@@ -19,7 +19,7 @@
 from bronzefold.node import session
 from bronzefold.node import versions
 from bronzefold.peers import messages
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 
 class Leadership:
@@ -28,7 +28,7 @@
   def __init__(
     self,
     own: settings.Settings,
-    client: platform.PlatformClient,
+    client: store.StoreClient,
     held_session: session.PlatformSession,
     config: configuration.Configuration,
     traffic: versions.VersionTraffic,
--- a/packages/node/src/bronzefold/node/node.py
+++ b/packages/node/src/bronzefold/node/node.py
@@ -15,7 +15,7 @@
 
 from bronzefold import callers
 from bronzefold import peers
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import burn as core_burn
 from bronzefold.core import clock
 from bronzefold.core import defaults
@@ -24,6 +24,7 @@
 from bronzefold.core import exceptions
 from bronzefold.core import ranges
 from bronzefold.core import settings
+from bronzefold.core import supervision
 from bronzefold.node import actions
 from bronzefold.node import admission
 from bronzefold.node import burn
@@ -41,7 +42,6 @@
 from bronzefold.node import selection
 from bronzefold.node import session
 from bronzefold.node import status
-from bronzefold.node import supervision
 from bronzefold.node import versions
 from bronzefold.peers import membership
 
@@ -102,7 +102,7 @@
   def _join_parts(self, policy: routing.Policy) -> None:
     own = self._own
     generator = random.Random(own.node)
-    self._client = platform.PlatformClient(own.platform_addresses)
+    self._client = store.StoreClient(own.platform_addresses)
     self._session = session.PlatformSession(
       own, self._client, self.config, self.members
     )
@@ -385,7 +385,7 @@
   def describe_status(self) -> status.NodeStatus:
     """Returns the node's status."""
     now = clock.read_monotonic()
-    keys = platform.keys
+    keys = store.keys
     alive = [
       member.node
       for member in self.members.list_others()
--- a/packages/node/src/bronzefold/node/ownership.py
+++ b/packages/node/src/bronzefold/node/ownership.py
@@ -12,7 +12,7 @@
 import msgspec
 import xxhash
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold import upstreams
 from bronzefold.core import clock
 from bronzefold.core import documents
@@ -27,7 +27,7 @@
 from bronzefold.node import status
 from bronzefold.peers import membership
 from bronzefold.peers import messages
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 _STABLE_S = 1.0
 _MAX_CLAIMS_PER_ROUND = 32
@@ -90,7 +90,7 @@
   def __init__(
     self,
     own: settings.Settings,
-    client: platform.PlatformClient,
+    client: store.StoreClient,
     held_session: session.PlatformSession,
     config: configuration.Configuration,
     known: directory.Directory,
--- a/packages/node/src/bronzefold/node/rollouts.py
+++ b/packages/node/src/bronzefold/node/rollouts.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import defaults
 from bronzefold.core import documents
 from bronzefold.core import events
@@ -15,7 +15,7 @@
 from bronzefold.core.clock import Seconds
 from bronzefold.node import configuration
 from bronzefold.node import versions
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 _CANARY_END = 0.2
 _FORCED_AFTER = 0.6
@@ -120,7 +120,7 @@
     self,
     config: configuration.Configuration,
     traffic: versions.VersionTraffic,
-    client: platform.PlatformClient,
+    client: store.StoreClient,
   ) -> None:
     """Creates a controller.
 
@@ -191,7 +191,7 @@
     except exceptions.PlatformError:
       # The next round reads what the platform holds and decides again.
       return
-    entry = platform.Entry(key, value, revision)
+    entry = store.Entry(key, value, revision)
     self._config.apply_changes([entry], self._config.revision)
     events.ROLLOUT_CHANGED.log(
       _logger,
--- a/packages/node/src/bronzefold/node/search.py
+++ b/packages/node/src/bronzefold/node/search.py
@@ -14,13 +14,13 @@
 from expression import Result
 import msgspec
 
+from bronzefold.core import budgets
 from bronzefold.core import clock
 from bronzefold.core import defaults
 from bronzefold.core import documents
 from bronzefold.core import exceptions
 from bronzefold.core import ranges
 from bronzefold.node import admission
-from bronzefold.node import budgets
 from bronzefold.node import directory
 from bronzefold.node import dispatch
 from bronzefold.node import merges
--- a/packages/node/src/bronzefold/node/session.py
+++ b/packages/node/src/bronzefold/node/session.py
@@ -8,7 +8,7 @@
 import attrs
 import msgspec
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import clock
 from bronzefold.core import defaults
 from bronzefold.core import events
@@ -16,7 +16,7 @@
 from bronzefold.core import settings
 from bronzefold.node import configuration
 from bronzefold.peers import membership
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 _VM_LIST_PERIOD_S = 1.0
 
@@ -42,7 +42,7 @@
   def __init__(
     self,
     own: settings.Settings,
-    client: platform.PlatformClient,
+    client: store.StoreClient,
     config: configuration.Configuration,
     members: membership.Membership,
   ) -> None:
--- a/packages/node/src/bronzefold/node/versions.py
+++ b/packages/node/src/bronzefold/node/versions.py
@@ -10,11 +10,11 @@
 import attrs
 import xxhash
 
+from bronzefold.core import budgets
 from bronzefold.core import defaults
 from bronzefold.core import documents
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
-from bronzefold.node import budgets
 from bronzefold.node import configuration
 from bronzefold.node import selection
 from bronzefold.node import significance
--- a/packages/operators/src/bronzefold/operators/changes.py
+++ b/packages/operators/src/bronzefold/operators/changes.py
@@ -11,10 +11,10 @@
 from expression import Result
 import msgspec
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import documents
 from bronzefold.core import exceptions
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 _ATTEMPTS = 5
 _PAUSE_S = 0.5
@@ -51,7 +51,7 @@
 
 
 async def write_value(
-  client: platform.PlatformClient,
+  client: store.StoreClient,
   key: str,
   value: str,
   operation: str,
@@ -91,7 +91,7 @@
 
 
 async def write_document(
-  client: platform.PlatformClient,
+  client: store.StoreClient,
   document: documents.Document,
   author: str,
   now_wall: float,
@@ -124,7 +124,7 @@
 
 
 async def write_zone(
-  client: platform.PlatformClient,
+  client: store.StoreClient,
   zone: str,
   state: str,
   author: str,
--- a/packages/operators/src/bronzefold/operators/commands.py
+++ b/packages/operators/src/bronzefold/operators/commands.py
@@ -13,7 +13,7 @@
 from expression import Result
 import msgspec
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import burn
 from bronzefold.core import clock
 from bronzefold.core import defaults
@@ -21,7 +21,7 @@
 from bronzefold.core import exceptions
 from bronzefold.operators import changes
 from bronzefold.operators import fleet
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 
 class Exit(enum.IntEnum):
@@ -47,7 +47,7 @@
     write: Prints a line.
   """
 
-  client: platform.PlatformClient
+  client: store.StoreClient
   author: str
   revision: int | None
   timeout_s: float
--- a/packages/operators/src/bronzefold/operators/fleet.py
+++ b/packages/operators/src/bronzefold/operators/fleet.py
@@ -10,9 +10,9 @@
 import httpcore
 import msgspec
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import exceptions
-from bronzefold.platform import keys
+from bronzefold.store import keys
 
 _TIMEOUT_S = 2.0
 _POLL_S = 0.1
@@ -34,7 +34,7 @@
 
 
 async def read_nodes(
-  client: platform.PlatformClient, extra: Iterable[str] = ()
+  client: store.StoreClient, extra: Iterable[str] = ()
 ) -> list[NodeView]:
   """Asks every registered node for its status.
 
@@ -64,7 +64,7 @@
 
 
 async def await_in_force(
-  client: platform.PlatformClient,
+  client: store.StoreClient,
   kind: str,
   name: str,
   revision: int,
--- a/packages/operators/src/bronzefold/operators/main.py
+++ b/packages/operators/src/bronzefold/operators/main.py
@@ -10,7 +10,7 @@
 from absl import flags
 import anyio
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import exceptions
 from bronzefold.operators import commands
 
@@ -39,7 +39,7 @@
 
 
 async def _run_command(name: str, arguments: Sequence[str]) -> int:
-  client = platform.PlatformClient(_PLATFORM.value)
+  client = store.StoreClient(_PLATFORM.value)
   context = commands.Context(
     client=client,
     author=_AUTHOR.value or getpass.getuser(),
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -16,7 +16,7 @@
 from bronzefold.core import burn
 from bronzefold.core import exceptions
 from bronzefold.core import ranges
-from bronzefold.platform import messages as platform_messages
+from bronzefold.store import messages as platform_messages
 from bronzefold.upstreams import holder
 
 _T = TypeVar("_T", bound=type)
--- /dev/null
+++ b/packages/store/src/bronzefold/store/__init__.py
@@ -0,0 +1,25 @@
+"""Client of the key-value store."""
+
+from bronzefold.store import keys
+from bronzefold.store.client import StoreClient
+from bronzefold.store.dialect import Dialect
+from bronzefold.store.dialect import OwnDialect
+from bronzefold.store.messages import Call
+from bronzefold.store.messages import Entry
+from bronzefold.store.messages import Lease
+from bronzefold.store.messages import Listing
+from bronzefold.store.messages import VmEntry
+from bronzefold.store.messages import VmList
+
+__all__ = [
+  "Call",
+  "Dialect",
+  "Entry",
+  "Lease",
+  "Listing",
+  "OwnDialect",
+  "StoreClient",
+  "VmEntry",
+  "VmList",
+  "keys",
+]
--- a/packages/platform/src/bronzefold/platform/client.py
+++ b/packages/store/src/bronzefold/store/client.py
@@ -1,27 +1,26 @@
-"""Client of the platform's key-value service."""
+"""Client of a key-value store."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import TypeVar
-from urllib import parse
 import uuid
 
 import anyio
 import httpcore
-import msgspec
 
 from bronzefold.core import defaults
 from bronzefold.core import exceptions
-from bronzefold.platform import messages
-
-_T = TypeVar("_T")
+from bronzefold.store import dialect as dialects
+from bronzefold.store import messages
 
 _WATCH_GRACE_S = 2.0
+_MAX_PAGES = 100
+
+_REFUSED_STATUSES = frozenset((403, 429))
 
 
-class PlatformClient:
-  """Calls the platform; one instance serves a whole process.
+class StoreClient:
+  """Calls the store; one instance serves a whole process.
 
   Every method raises ``PlatformUnavailableError`` when no reply came. A write
   that fails so may have taken effect.
@@ -34,16 +33,19 @@
     self,
     addresses: Sequence[str],
     timeout_s: float = defaults.PLATFORM_TIMEOUT_S,
+    dialect: dialects.Dialect | None = None,
   ) -> None:
     """Creates a client.
 
     Args:
-      addresses: IP:port of the platform's servers, tried in turn.
+      addresses: IP:port of the store's servers, tried in turn.
       timeout_s: Longest duration of a call, watches excepted.
+      dialect: Translation of calls; the product's own if absent.
     """
     self._addresses = tuple(addresses)
     self._preferred = 0
     self._timeout_s = timeout_s
+    self._dialect = dialect or dialects.OwnDialect()
     self._pool = httpcore.AsyncConnectionPool(
       max_connections=16, keepalive_expiry=30.0
     )
@@ -55,16 +57,28 @@
 
   async def get(self, key: str) -> messages.Entry | None:
     """Returns the entry of a key, None if it does not exist."""
-    status, body = await self._call("GET", _key_path(key))
-    if status == 404:
+    response = await self._call(self._dialect.make_get(key))
+    if response.status == 404:
       return None
-    return _decode(body, messages.Entry)
+    return self._dialect.read_entry(response.body)
 
   async def list_prefix(self, prefix: str) -> messages.Listing:
-    """Returns the entries whose keys start with ``prefix``."""
-    path = "/v1/keys?" + parse.urlencode({"prefix": prefix})
-    _, body = await self._call("GET", path)
-    return _decode(body, messages.Listing)
+    """Returns the entries whose keys start with ``prefix``.
+
+    Pages are read one after the other and are no snapshot. The revision is
+    that of the first page, so that a watch from it misses nothing.
+    """
+    entries: list[messages.Entry] = []
+    revision = None
+    for _ in range(_MAX_PAGES):
+      after = entries[-1].key if entries else ""
+      call = self._dialect.make_list(prefix, after)
+      page = self._dialect.read_listing((await self._call(call)).body)
+      entries.extend(page.entries)
+      revision = page.revision if revision is None else revision
+      if not page.more or not page.entries:
+        return messages.Listing(revision, tuple(entries))
+    raise exceptions.PlatformError(f"{prefix!r} has over {_MAX_PAGES} pages")
 
   async def put(
     self,
@@ -88,15 +102,13 @@
       ConflictError: The key has another revision.
       LeaseLapsedError: The lease does not exist.
     """
-    query = {"expected": expected_revision}
-    if lease is not None:
-      query["lease"] = lease
-    path = f"{_key_path(key)}?{parse.urlencode(query)}"
-    status, body = await self._call("PUT", path, value.encode())
-    _raise_on_conflict(status, body, key)
-    if status == 404:
+    response = await self._call(
+      self._dialect.make_put(key, value, expected_revision, lease)
+    )
+    self._raise_on_conflict(response, key)
+    if response.status == dialects.LEASE_GONE_STATUS:
       raise exceptions.LeaseLapsedError(f"lease {lease} does not exist")
-    return _decode(body, messages.Entry).revision
+    return self._dialect.read_revision(response.body)
 
   async def delete(self, key: str, expected_revision: int) -> None:
     """Deletes a key if its revision is the expected one.
@@ -108,9 +120,10 @@
     Raises:
       ConflictError: The key has another revision or does not exist.
     """
-    query = parse.urlencode({"expected": expected_revision})
-    status, body = await self._call("DELETE", f"{_key_path(key)}?{query}")
-    _raise_on_conflict(status, body, key)
+    response = await self._call(
+      self._dialect.make_delete(key, expected_revision)
+    )
+    self._raise_on_conflict(response, key)
 
   async def watch(
     self, prefix: str, after: int, wait_s: float
@@ -125,17 +138,20 @@
     Returns:
       The changes in order of revision, and the revision up to which they are
       complete. Deleted keys have the value None.
+
+    Raises:
+      HistoryGoneError: Changes since ``after`` are no longer known.
     """
-    query = {"prefix": prefix, "after": after, "wait_s": wait_s}
-    path = "/v1/watch?" + parse.urlencode(query)
-    _, body = await self._call("GET", path, timeout_s=wait_s + _WATCH_GRACE_S)
-    return _decode(body, messages.Listing)
+    call = self._dialect.make_watch(prefix, after, wait_s)
+    response = await self._call(call, timeout_s=wait_s + _WATCH_GRACE_S)
+    if response.status == self._dialect.history_gone_status:
+      raise exceptions.HistoryGoneError(f"no history behind {after}")
+    return self._dialect.read_changes(response.body)
 
   async def create_lease(self, ttl_s: float) -> messages.Lease:
     """Creates a lease that lapses ``ttl_s`` after its last renewal."""
-    body = msgspec.json.encode({"ttl_s": ttl_s})
-    _, reply = await self._call("POST", "/v1/leases", body)
-    return _decode(reply, messages.Lease)
+    response = await self._call(self._dialect.make_lease(ttl_s))
+    return self._dialect.read_lease(response.body)
 
   async def renew_lease(self, lease: int) -> None:
     """Renews a lease.
@@ -146,49 +162,59 @@
     Raises:
       LeaseLapsedError: The lease does not exist.
     """
-    status, _ = await self._call("PUT", f"/v1/leases/{lease}")
-    if status == 404:
+    response = await self._call(self._dialect.make_renewal(lease))
+    if response.status == dialects.LEASE_GONE_STATUS:
       raise exceptions.LeaseLapsedError(f"lease {lease} does not exist")
 
   async def revoke_lease(self, lease: int) -> None:
     """Ends a lease; the keys attached to it vanish."""
-    await self._call("DELETE", f"/v1/leases/{lease}")
+    await self._call(self._dialect.make_revocation(lease))
 
   async def list_vms(self) -> messages.VmList:
     """Returns the lagging list of live and leaving VMs."""
-    _, body = await self._call("GET", "/v1/vms")
-    return _decode(body, messages.VmList)
+    response = await self._call(messages.Call("GET", "/v1/vms"))
+    return dialects.decode_body(response.body, messages.VmList)
 
   async def _call(
-    self,
-    method: str,
-    path: str,
-    body: bytes = b"",
-    timeout_s: float | None = None,
-  ) -> tuple[int, bytes]:
+    self, call: messages.Call, timeout_s: float | None = None
+  ) -> messages.Response:
     address = self._addresses[self._preferred % len(self._addresses)]
     self.calls += 1
+    what = f"{call.method} {call.target}"
+    headers = {"x-request-id": uuid.uuid4().hex}
+    if call.body:
+      headers["content-type"] = "application/json"
     try:
       with anyio.fail_after(timeout_s or self._timeout_s):
         reply = await self._pool.request(
-          method,
-          f"http://{address}{path}",
-          headers={"x-request-id": uuid.uuid4().hex},
-          content=body,
+          call.method,
+          f"http://{address}{call.target}",
+          headers=headers,
+          content=call.body,
         )
     except _CALL_ERRORS as error:
       self._preferred += 1
       raise exceptions.PlatformUnavailableError(
-        f"{method} {path}: {type(error).__name__}"
+        f"{what}: {type(error).__name__}"
       ) from error
-    if reply.status >= 500:
+    if reply.status >= 500 or reply.status in _REFUSED_STATUSES:
       self._preferred += 1
       raise exceptions.PlatformUnavailableError(
-        f"{method} {path}: status {reply.status}"
+        f"{what}: status {reply.status}"
       )
     if reply.status == 400:
       raise exceptions.PlatformError(reply.content.decode(errors="replace"))
-    return reply.status, reply.content
+    return messages.Response(reply.status, reply.content)
+
+  def _raise_on_conflict(self, response: messages.Response, key: str) -> None:
+    if response.status != self._dialect.conflict_status:
+      return
+    current = self._dialect.read_conflict(key, response.body)
+    raise exceptions.ConflictError(
+      f"{key} has revision {current.revision}",
+      current.revision,
+      (current.value or "").encode(),
+    )
 
 
 _CALL_ERRORS = (
@@ -199,25 +225,3 @@
   httpcore.ProtocolError,
   httpcore.ConnectionNotAvailable,
 )
-
-
-def _key_path(key: str) -> str:
-  return "/v1/keys/" + parse.quote(key, safe="")
-
-
-def _decode(body: bytes, kind: type[_T]) -> _T:
-  try:
-    return msgspec.json.decode(body, type=kind)
-  except msgspec.MsgspecError as error:
-    raise exceptions.PlatformUnavailableError(f"bad reply: {error}") from error
-
-
-def _raise_on_conflict(status: int, body: bytes, key: str) -> None:
-  if status != 409:
-    return
-  current = _decode(body, messages.Entry)
-  raise exceptions.ConflictError(
-    f"{key} has revision {current.revision}",
-    current.revision,
-    (current.value or "").encode(),
-  )
--- a/packages/platform/src/bronzefold/platform/messages.py
+++ b/packages/store/src/bronzefold/store/messages.py
@@ -1,4 +1,4 @@
-"""Messages of the platform's key-value protocol."""
+"""Messages of the key-value store."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
   Attributes:
     key: The key.
     value: The value; None when the key was deleted.
-    revision: Revision of the platform at the key's last change.
+    revision: Revision of the store at the key's last change.
   """
 
   key: str
@@ -25,12 +25,14 @@
   """Entries under a prefix.
 
   Attributes:
-    revision: Revision of the platform at which the listing is true.
+    revision: Revision of the store at which the listing is true.
     entries: The entries.
+    more: True when further pages follow.
   """
 
   revision: int
   entries: tuple[Entry, ...]
+  more: bool = False
 
 
 @attrs.frozen
@@ -63,3 +65,31 @@
   """The platform's lagging list of VMs."""
 
   vms: tuple[VmEntry, ...]
+
+
+@attrs.frozen
+class Call:
+  """An HTTP call to a store.
+
+  Attributes:
+    method: HTTP method.
+    target: Path and query.
+    body: Body, JSON or empty.
+  """
+
+  method: str
+  target: str
+  body: bytes = b""
+
+
+@attrs.frozen
+class Response:
+  """A store's response.
+
+  Attributes:
+    status: HTTP status, below 500.
+    body: Body, JSON.
+  """
+
+  status: int
+  body: bytes
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import exceptions
 from bronzefold.node import claims
 
@@ -13,7 +13,7 @@
   """The calls that claims make; a reply can be lost after the effect."""
 
   def __init__(self) -> None:
-    self.entries: dict[str, platform.Entry] = {}
+    self.entries: dict[str, store.Entry] = {}
     self.revision = 0
     self.lose_next = False
     self.down = False
@@ -22,19 +22,19 @@
     if self.down:
       raise exceptions.PlatformUnavailableError("down")
 
-  async def get(self, key: str) -> platform.Entry | None:
+  async def get(self, key: str) -> store.Entry | None:
     self._check()
     return self.entries.get(key)
 
-  async def list_prefix(self, prefix: str) -> platform.Listing:
+  async def list_prefix(self, prefix: str) -> store.Listing:
     entries = [e for k, e in self.entries.items() if k.startswith(prefix)]
-    return platform.Listing(self.revision, tuple(entries))
+    return store.Listing(self.revision, tuple(entries))
 
   async def put(self, key: str, value: str, expected: int) -> int:
     self._check()
     self._compare(key, expected)
     self.revision += 1
-    self.entries[key] = platform.Entry(key, value, self.revision)
+    self.entries[key] = store.Entry(key, value, self.revision)
     if self.lose_next:
       self.lose_next = False
       raise exceptions.PlatformUnavailableError("lost")
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,7 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.node import configuration
 from tests import fleet
 from tests import load
@@ -32,7 +32,7 @@
       if number == 0:
         continue
       state = "in" if number % 2 else "out"
-      entry = platform.Entry(ZONE_KEY, f'{{"state": "{state}"}}', number)
+      entry = store.Entry(ZONE_KEY, f'{{"state": "{state}"}}', number)
       config.apply_changes([entry], number)
       newest = max(newest, number)
       self.assertEqual(config.zones["b"], "in" if newest % 2 else "out")
@@ -40,9 +40,9 @@
 
   def test_deleted_key_does_not_come_back(self):
     config = configuration.Configuration()
-    entry = platform.Entry(ZONE_KEY, '{"state": "out"}', 3)
-    config.apply_listing(platform.Listing(3, (entry,)))
-    config.apply_listing(platform.Listing(5, ()))
+    entry = store.Entry(ZONE_KEY, '{"state": "out"}', 3)
+    config.apply_listing(store.Listing(3, (entry,)))
+    config.apply_listing(store.Listing(5, ()))
     self.assertEqual(config.zones, {})
     config.apply_changes([entry], 4)
     self.assertEqual(config.zones, {})
@@ -50,9 +50,9 @@
 
   def test_invalid_value_leaves_the_old_one_in_force(self):
     config = configuration.Configuration()
-    good = platform.Entry(ZONE_KEY, '{"state": "out"}', 3)
+    good = store.Entry(ZONE_KEY, '{"state": "out"}', 3)
     for bad in ('{"state": "away"}', "[]", "{"):
-      entry = platform.Entry(ZONE_KEY, bad, 4)
+      entry = store.Entry(ZONE_KEY, bad, 4)
       config.apply_changes([good, entry], 4)
       self.assertEqual(config.zones, {"b": "out"})
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from bronzefold import platform
+from bronzefold import store
 from bronzefold.core import exceptions
 from bronzefold.core import settings
 from bronzefold.node import configuration
@@ -18,26 +18,26 @@
   def __init__(self) -> None:
     self.revision = 10
     self.leases: set[int] = set()
-    self.entries: dict[str, platform.Entry] = {}
+    self.entries: dict[str, store.Entry] = {}
     self.lose_registration = False
 
-  async def create_lease(self, ttl_s: float) -> platform.Lease:
+  async def create_lease(self, ttl_s: float) -> store.Lease:
     lease = len(self.leases) + self.revision
     self.leases.add(lease)
-    return platform.Lease(lease, ttl_s)
+    return store.Lease(lease, ttl_s)
 
   async def renew_lease(self, lease: int) -> None:
     if lease not in self.leases:
       raise exceptions.LeaseLapsedError(str(lease))
 
-  async def get(self, key: str) -> platform.Entry | None:
+  async def get(self, key: str) -> store.Entry | None:
     return self.entries.get(key)
 
   async def put(self, key: str, value: str, expected: int, lease: int) -> int:
     if self.lose_registration:
       raise exceptions.PlatformUnavailableError("lost")
     self.revision += 1
-    self.entries[key] = platform.Entry(key, value, self.revision)
+    self.entries[key] = store.Entry(key, value, self.revision)
     return self.revision
 
 
