--- a/packages/core/src/bronzefold/core/budgets.py
+++ b/packages/core/src/bronzefold/core/budgets.py
@@ -4,12 +4,14 @@
 
 import collections
 
+import attrs
+
 from bronzefold.core import defaults
 from bronzefold.core.clock import Seconds
 
 _QUANTILE_SAMPLES = 512
 _QUANTILE_REFRESH = 64
-_WINDOW_SLICES = 10
+_WINDOW_SLICES = 20
 
 
 class ShareBudget:
@@ -77,8 +79,9 @@
 class WindowBudget:
   """Bounds extra requests in every span of a window's length.
 
-  The extra requests of a window stay within a share of the ordinary ones in
-  it and a constant. Counts are kept in slices of a tenth of the window.
+  The extra requests of any window stay within a share of the ordinary ones
+  in it and a constant. Counts are kept in slices; a slice that a window cuts
+  counts in full as extra and not at all as ordinary.
   """
 
   def __init__(self, ratio: float, slack: float, window_s: Seconds) -> None:
@@ -93,25 +96,38 @@
     self.slack = slack
     self._window_s = window_s
     self._slice_s = window_s / _WINDOW_SLICES
-    self._slices: collections.deque[list[float]] = collections.deque()
+    self._slices: collections.deque[_Slice] = collections.deque()
 
   def earn(self, now: Seconds) -> None:
     """Takes note of an ordinary request."""
-    self._get_slice(now)[1] += 1
+    self._get_slice(now).ordinary += 1
 
   def try_spend(self, now: Seconds) -> bool:
     """Spends one extra request; False when none is left."""
     current = self._get_slice(now)
-    ordinary = sum(counts[1] for counts in self._slices)
-    extra = sum(counts[2] for counts in self._slices)
+    whole_since = now - self._window_s
+    ordinary = sum(
+      kept.ordinary for kept in self._slices if kept.started_at >= whole_since
+    )
+    extra = sum(kept.extra for kept in self._slices)
     if extra + 1 > self.ratio * ordinary + self.slack:
       return False
-    current[2] += 1
+    current.extra += 1
     return True
 
-  def _get_slice(self, now: Seconds) -> list[float]:
-    while self._slices and self._slices[0][0] <= now - self._window_s:
+  def _get_slice(self, now: Seconds) -> _Slice:
+    cut_off = now - self._window_s - self._slice_s
+    while self._slices and self._slices[0].started_at <= cut_off:
       self._slices.popleft()
-    if not self._slices or self._slices[-1][0] <= now - self._slice_s:
-      self._slices.append([now, 0.0, 0.0])
-    return self._slices[-1]
+    newest = self._slices[-1] if self._slices else None
+    if newest is None or newest.started_at <= now - self._slice_s:
+      newest = _Slice(now)
+      self._slices.append(newest)
+    return newest
+
+
+@attrs.define
+class _Slice:
+  started_at: Seconds
+  ordinary: int = 0
+  extra: int = 0
--- a/packages/gateway/src/bronzefold/gateway/__init__.py
+++ b/packages/gateway/src/bronzefold/gateway/__init__.py
@@ -10,6 +10,7 @@
 from bronzefold.gateway.model import Request
 from bronzefold.gateway.model import Route
 from bronzefold.gateway.model import Service
+from bronzefold.gateway.replica import Replica
 from bronzefold.gateway.settings import GatewaySettings
 
 __all__ = [
@@ -19,6 +20,7 @@
   "Gateway",
   "GatewaySettings",
   "Instance",
+  "Replica",
   "Reply",
   "Request",
   "Route",
--- a/packages/gateway/src/bronzefold/gateway/application.py
+++ b/packages/gateway/src/bronzefold/gateway/application.py
@@ -57,7 +57,7 @@
     self,
     own: settings.GatewaySettings,
     gateway: gateways.Gateway,
-    members: fleet.Fleet,
+    nodes: fleet.Fleet,
     protocol: CallerProtocol,
   ) -> None:
     """Creates an application.
@@ -65,13 +65,13 @@
     Args:
       own: Settings of this node.
       gateway: Decides what becomes of requests.
-      members: The nodes of the fleet.
+      nodes: The nodes of the fleet.
       protocol: Wire format towards callers.
     """
     self.is_leaving = False
     self._own = own
     self._gateway = gateway
-    self._members = members
+    self._nodes = nodes
     self._protocol = protocol
     self._handlers = {
       _read_port(own.request_address): self._serve_request,
@@ -118,12 +118,12 @@
   async def _serve_directory(
     self, scope: dict[str, Any], receive: Receive, send: Send, now: Seconds
   ) -> None:
-    del receive, now
+    del receive
     if not self._protocol.is_directory_path(scope["path"]):
       await self._send(send, model.Answer(404))
       return
     body = self._protocol.encode_directory(
-      self._members.list_addresses(), self._own.addresses_keep_s
+      self._nodes.list_addresses(now), self._own.addresses_keep_s
     )
     json_type = ((b"content-type", b"application/json"),)
     await self._send(send, model.Answer(200, json_type, body))
--- a/packages/gateway/src/bronzefold/gateway/fleet.py
+++ b/packages/gateway/src/bronzefold/gateway/fleet.py
@@ -1,86 +1,151 @@
-"""The nodes of the fleet, as this node knows them."""
+"""Heartbeats between nodes, and what they tell: who runs, what has changed."""
 
 from __future__ import annotations
 
-import logging
+from typing import Any
 
-import attrs
-import msgspec
+import anyio
 
-from bronzefold import store
-from bronzefold.core import events
+from bronzefold import peers
+from bronzefold.core import clock
 from bronzefold.core.clock import Seconds
-from bronzefold.gateway import settings
+from bronzefold.gateway import gateway as gateways
+from bronzefold.gateway import replica
+from bronzefold.peers import membership
+from bronzefold.peers import messages
 
-_logger = logging.getLogger(__name__)
+HEARTBEAT_S = 0.4
+ALIVE_S = 1.1
+FRESH_S = 2.0
+SYNC_PAUSE_S = 1.0
+COUNTED_S = 15.0
+MAX_ADDRESSES = 64
 
-
-@attrs.frozen
-class Node:
-  """A registered node.
-
-  Attributes:
-    node: Its name.
-    zone: Its availability zone.
-    request_address: IP:port for callers' requests.
-    peer_address: IP:port for other nodes.
-  """
-
-  node: str
-  zone: str
-  request_address: str
-  peer_address: str
+_SEED_PREFIX = "seed/"
 
 
 class Fleet:
-  """Knows which nodes run."""
-
-  def __init__(self, own: settings.GatewaySettings) -> None:
-    """Creates a fleet of one node.
+  """Knows which nodes run, and passes changes on to those cut off."""
+
+  def __init__(
+    self,
+    members: membership.Membership,
+    network: peers.PeerNetwork,
+    copy: replica.Replica,
+    gateway: gateways.Gateway,
+    seeds: tuple[str, ...],
+  ) -> None:
+    """Creates a fleet; ``run`` sends heartbeats.
 
     Args:
-      own: Settings of this node.
+      members: The nodes.
+      network: Links to the nodes.
+      copy: This node's copy of the store.
+      gateway: Is told how many nodes share its limits.
+      seeds: Peer addresses to try while no other node is known.
     """
-    self._own = Node(own.node, own.zone, own.request_address, own.peer_address)
-    self._nodes: dict[str, Node] = {}
-    self.is_serving = False
-
-  def encode_own(self) -> str:
-    """Returns this node's registration."""
-    return msgspec.json.encode(self._own).decode()
-
-  def apply(self, entry: store.Entry) -> None:
-    """Applies a registration or its removal."""
-    before = self._nodes.get(entry.key)
-    if entry.value is None:
-      self._nodes.pop(entry.key, None)
-    else:
-      try:
-        self._nodes[entry.key] = msgspec.json.decode(entry.value, type=Node)
-      except msgspec.MsgspecError as error:
-        events.ENTRY_REFUSED.log(_logger, key=entry.key, reason=str(error))
-        return
-    if before != self._nodes.get(entry.key):
-      events.NODE_CHANGED.log(
-        _logger, key=entry.key, is_registered=entry.value is not None
-      )
-
-  def retain(self, keys: set[str]) -> None:
-    """Forgets the nodes whose registration is not among ``keys``."""
-    for key in self._nodes.keys() - keys:
-      self.apply(store.Entry(key, None, 0))
-
-  def count_nodes(self, now: Seconds) -> int:
-    """Counts the nodes that may run, this one included."""
-    del now
-    return len({self._own.node, *(n.node for n in self._nodes.values())})
-
-  def list_addresses(self) -> list[str]:
-    """Lists where callers should send requests."""
-    others = {
-      node.request_address
-      for node in self._nodes.values()
-      if node.node != self._own.node
-    }
-    own = [self._own.request_address] if self.is_serving else []
-    return [*own, *sorted(others)]
+    self._members = members
+    self._network = network
+    self._copy = copy
+    self._gateway = gateway
+    self._seeds = seeds
+    self._asked_at = 0.0
+    self._last_known: dict[str, Seconds] = {}
+
+  async def run(self) -> None:
+    """Sends heartbeats until cancelled."""
+    while True:
+      now = clock.read_monotonic()
+      self._connect()
+      self._count_nodes(now)
+      self._send_heartbeats(now)
+      if not self._copy.revision:
+        self._ask_all(now)
+      await anyio.sleep(HEARTBEAT_S)
+
+  def leave(self, now: Seconds) -> None:
+    """Tells all neighbours at once that this node leaves."""
+    self._members.set_state(membership.LEAVING)
+    self._send_heartbeats(now)
+
+  def list_addresses(self, now: Seconds) -> list[str]:
+    """Lists where callers should send requests, at most 64 addresses."""
+    serving = self._members.list_serving(now)
+    return [member.caller_address for member in serving[:MAX_ADDRESSES]]
+
+  async def handle(self, sender: str, message: Any) -> None:
+    """Handles a message from another node."""
+    now = clock.read_monotonic()
+    if isinstance(message, messages.Heartbeat):
+      self._take_heartbeat(sender, message, now)
+    elif isinstance(message, messages.SyncRequest):
+      entries = self._copy.list_changes(message.after)
+      changes = messages.Changes(self._copy.revision, entries)
+      self._network.send(sender, changes)
+    elif isinstance(message, messages.Changes):
+      self._copy.apply_changes(message.entries, message.revision, now)
+
+  def _take_heartbeat(
+    self, sender: str, heartbeat: messages.Heartbeat, now: Seconds
+  ) -> None:
+    if heartbeat.node != sender or sender == self._members.own.node:
+      return
+    self._members.record_heartbeat(heartbeat, self._copy.revision)
+    self._network.connect(sender, heartbeat.peer_address)
+    age_s = self._members.get_own_platform_age(now)
+    is_stale = age_s is None or age_s > FRESH_S
+    if is_stale and heartbeat.config_revision > self._copy.revision:
+      self._ask(sender, now)
+
+  def _ask_all(self, now: Seconds) -> None:
+    for node in self._network.list_connected():
+      self._ask(node, now)
+
+  def _ask(self, node: str, now: Seconds) -> None:
+    if now - self._asked_at < SYNC_PAUSE_S:
+      return
+    self._asked_at = now
+    request = messages.SyncRequest(self._copy.revision, reports=False)
+    self._network.send(node, request)
+
+  def _count_nodes(self, now: Seconds) -> None:
+    """Counts nodes that were known lately: they may still use their shares."""
+    self._last_known.update(
+      (member.node, now) for member in self._members.list_others()
+    )
+    count = sum(now - seen < COUNTED_S for seen in self._last_known.values())
+    if self._copy.revision:
+      self._gateway.set_node_count(count + 1)
+
+  def _send_heartbeats(self, now: Seconds) -> None:
+    targets = [member.node for member in self._members.list_neighbours()]
+    for node in targets or self._network.list_connected():
+      self._network.send(node, self._make_heartbeat(node, now))
+
+  def _make_heartbeat(self, receiver: str, now: Seconds) -> messages.Heartbeat:
+    own = self._members.own
+    return messages.Heartbeat(
+      node=own.node,
+      zone=own.zone,
+      state=own.state,
+      caller_address=own.caller_address,
+      peer_address=own.peer_address,
+      platform_age_s=self._members.get_own_platform_age(now),
+      config_revision=self._copy.revision,
+      digest=0,
+      sent_at=now,
+      echo=self._members.get_echo(receiver),
+    )
+
+  def _connect(self) -> None:
+    others = {member.node: member for member in self._members.list_others()}
+    for node, member in others.items():
+      self._network.connect(node, member.peer_address)
+    if not others:
+      for index, address in enumerate(self._seeds):
+        if address != self._members.own.peer_address:
+          self._network.connect(f"{_SEED_PREFIX}{index}", address)
+    for node in self._network.list_connected():
+      is_seed = node.startswith(_SEED_PREFIX)
+      if (is_seed and others) or (not is_seed and node not in others):
+        self._network.disconnect(node)
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -19,12 +19,11 @@
 from bronzefold.gateway import sending
 from bronzefold.gateway import settings
 
-HEDGE_QUANTILE = 0.95
+HEDGE_QUANTILE = 0.9
 RETRY_AFTER_S = 0.05
 NOT_READY_RETRY_AFTER_S = 0.3
 EXTRA_SHARE = 0.9
-SLACK_SHARE = 0.6
-FORGET_AFTER_S = 30.0
+SLACK_SHARE = 0.5
 
 _logger = logging.getLogger(__name__)
 
--- a/packages/gateway/src/bronzefold/gateway/health.py
+++ b/packages/gateway/src/bronzefold/gateway/health.py
@@ -10,8 +10,8 @@
 
 _GAIN = 0.125  # RFC 6298, alpha
 _DEVIATION_GAIN = 0.25  # RFC 6298, beta
-_DEVIATIONS = 4.0  # RFC 6298, K
-_STALL_FLOOR_S = 0.02
+_DEVIATIONS = 2.0
+_STALL_FLOOR_S = 0.01
 _FADE_S = 2.0
 _FIRST_BACKOFF_S = 0.25
 _MAX_BACKOFF_S = 2.0
--- a/packages/gateway/src/bronzefold/gateway/inventory.py
+++ b/packages/gateway/src/bronzefold/gateway/inventory.py
@@ -36,7 +36,6 @@
   """All registered upstreams and the zones that are taken out.
 
   Attributes:
-    revision: Store revision up to which changes have been applied.
     evacuated: Availability zones that get no requests.
   """
 
@@ -47,7 +46,6 @@
       get_limit: Returns this node's share of the connections of an upstream
         of a service.
     """
-    self.revision = 0
     self.evacuated: set[str] = set()
     self._get_limit = get_limit
     self._upstreams: dict[str, Upstream] = {}
@@ -108,12 +106,6 @@
     upstream.leaving_since = now
     return True
 
-  def retain(self, ids: set[str], now: Seconds) -> list[str]:
-    """Removes all registrations but those named; returns the removed."""
-    return [
-      id_ for id_ in self._upstreams if id_ not in ids and self.remove(id_, now)
-    ]
-
   def expire(self, now: Seconds, keep_s: Seconds) -> None:
     """Forgets upstreams that left longer than ``keep_s`` ago."""
     gone = [
--- a/packages/gateway/src/bronzefold/gateway/program.py
+++ b/packages/gateway/src/bronzefold/gateway/program.py
@@ -8,13 +8,16 @@
 import logging
 import signal
 import sys
+from typing import Any
 
 import anyio
 from anyio import abc
 import attrs
 import uvicorn
 
+from bronzefold import peers
 from bronzefold import store
+from bronzefold.core import clock
 from bronzefold.core import events
 from bronzefold.core import exceptions
 from bronzefold.core import logs
@@ -23,13 +26,16 @@
 from bronzefold.gateway import fleet
 from bronzefold.gateway import following
 from bronzefold.gateway import gateway as gateways
+from bronzefold.gateway import replica
 from bronzefold.gateway import sending
 from bronzefold.gateway import settings
+from bronzefold.peers import membership
 
 STORE_TIMEOUT_S = 1.0
 LINGER_S = 2.5
 STOP_MARGIN_S = 0.5
 KEEP_ALIVE_S = 75
+FLEET = "gateway"
 BACKLOG = 512
 
 _EXIT_BAD_SETTINGS = 2
@@ -51,7 +57,7 @@
   """
 
   load_settings: Callable[[], settings.GatewaySettings]
-  read_change: following.ReadChange
+  read_change: replica.ReadChange
   store_dialect: store.Dialect
   upstream_protocol: sending.UpstreamProtocol
   caller_protocol: application.CallerProtocol
@@ -77,15 +83,31 @@
     self._own = own
     self._tasks = tasks
     self._gateway = gateways.Gateway(own, translation.upstream_protocol, tasks)
-    self._members = fleet.Fleet(own)
+    member = membership.Member(
+      node=own.node,
+      zone=own.zone,
+      state=membership.STARTING,
+      caller_address=own.request_address,
+      peer_address=own.peer_address,
+    )
+    self._members = membership.Membership(
+      member, following.FRESH_S, fleet.ALIVE_S
+    )
+    copy = replica.Replica(
+      self._gateway, self._members, translation.read_change
+    )
     client = store.StoreClient(
       [own.store_address], STORE_TIMEOUT_S, translation.store_dialect
     )
-    self._follower = following.StoreFollower(
-      own, client, self._gateway, self._members, translation.read_change
+    self._follower = following.StoreFollower(client, copy, self._members)
+    self._network = peers.PeerNetwork(
+      peers.FrameCodec(FLEET, "", own.node), own.peer_address, self._handle
+    )
+    self._fleet = fleet.Fleet(
+      self._members, self._network, copy, self._gateway, own.seed_peers
     )
     self._application = application.Application(
-      own, self._gateway, self._members, translation.caller_protocol
+      own, self._gateway, self._fleet, translation.caller_protocol
     )
     self._server = _Server(self._make_server_config())
 
@@ -93,13 +115,18 @@
     """Serves until a signal stops the node."""
     events.NODE_STARTED.log(_logger, node=self._own.node, zone=self._own.zone)
     sockets = self._application.open_sockets(BACKLOG)
-    self._members.is_serving = True
+    self._members.set_state(membership.SERVING)
+    self._tasks.start_soon(self._network.run, self._tasks)
+    self._tasks.start_soon(supervision.supervise, self._fleet.run)
     self._tasks.start_soon(self._handle_signals)
     self._tasks.start_soon(supervision.supervise, self._follower.run_watch)
     self._tasks.start_soon(supervision.supervise, self._follower.run_lease)
     await self._server.serve(sockets=sockets)
     events.NODE_STOPPED.log(_logger, node=self._own.node)
 
+  async def _handle(self, sender: str, message: Any) -> None:
+    await self._fleet.handle(sender, message)
+
   async def _handle_signals(self) -> None:
     with anyio.open_signal_receiver(
       signal.SIGTERM, signal.SIGINT, signal.SIGHUP
@@ -123,7 +150,7 @@
   async def _leave(self) -> None:
     """Goes out of the directory at once, then stops accepting."""
     events.NODE_LEAVING.log(_logger, node=self._own.node)
-    self._members.is_serving = False
+    self._fleet.leave(clock.read_monotonic())
     self._application.is_leaving = True
     self._tasks.start_soon(self._follower.leave)
     await anyio.sleep(LINGER_S)
--- a/packages/gateway/src/bronzefold/gateway/queries.py
+++ b/packages/gateway/src/bronzefold/gateway/queries.py
@@ -21,7 +21,7 @@
 from bronzefold.gateway import selection
 from bronzefold.gateway import sending
 
-ANSWER_RESERVE_S = 0.008
+ANSWER_RESERVE_S = 0.012
 MIN_HEDGE_DELAY_S = 0.008
 MAX_HEDGE_SHARE = 0.5
 FIRST_HEDGE_SHARE = 0.3
--- a/packages/gateway/src/bronzefold/gateway/settings.py
+++ b/packages/gateway/src/bronzefold/gateway/settings.py
@@ -6,7 +6,7 @@
 
 from bronzefold.core.clock import Seconds
 
-ADDRESSES_KEEP_S = 2.0
+ADDRESSES_KEEP_S = 1.0
 
 
 @attrs.frozen
@@ -21,6 +21,7 @@
     directory_address: IP:port for questions of where to connect.
     peer_address: IP:port for other nodes.
     store_address: IP:port of the store.
+    seed_peers: Peer addresses to try while no other node is known.
     retry_ratio: Extra arrivals at a service for each of its requests.
     retry_slack: Extra arrivals besides, over all nodes.
     retry_window_s: Window in which extra arrivals are counted.
@@ -36,6 +37,7 @@
   directory_address: str
   peer_address: str
   store_address: str
+  seed_peers: tuple[str, ...] = ()
   retry_ratio: float = 0.2
   retry_slack: float = 0.0
   retry_window_s: Seconds = 10.0
--- a/packages/peers/src/bronzefold/peers/membership.py
+++ b/packages/peers/src/bronzefold/peers/membership.py
@@ -72,21 +72,29 @@
     own: This node.
   """
 
-  def __init__(self, own: Member, freshness_limit_s: Seconds) -> None:
+  def __init__(
+    self,
+    own: Member,
+    freshness_limit_s: Seconds,
+    alive_s: Seconds = defaults.HEARTBEAT_TIMEOUT_S,
+  ) -> None:
     """Creates a membership of this node alone.
 
     Args:
       own: This node.
       freshness_limit_s: Age of the last contact with the platform up to
         which knowledge counts as current.
+      alive_s: Age of the last heartbeat up to which a node counts as alive.
     """
     self.own = own
+    self._alive_s = alive_s
     self._freshness_limit_s = freshness_limit_s
     self._registered: dict[str, Member] = {}
     self._heard: dict[str, Member] = {}
     self._heard_at: dict[str, Seconds] = {}
     self._echoes: dict[str, Seconds] = {}
     self._platform_at: Seconds | None = None
+    self._own_platform_at: Seconds | None = None
 
   def set_state(self, state: str) -> None:
     """Changes the state of this node."""
@@ -110,7 +118,8 @@
       asked_at: Monotonic time at which the call began. The reply may have
         waited for long in a buffer of a paused process.
     """
-    self._platform_at = max(self._platform_at or asked_at, asked_at)
+    self._own_platform_at = max(self._own_platform_at or asked_at, asked_at)
+    self._note_platform(asked_at)
 
   def record_heartbeat(
     self, heartbeat: messages.Heartbeat, config_revision: int
@@ -135,7 +144,13 @@
     if heartbeat.platform_age_s is None:
       return
     if heartbeat.config_revision <= config_revision:
-      self.record_platform(heartbeat.echo - heartbeat.platform_age_s)
+      self._note_platform(heartbeat.echo - heartbeat.platform_age_s)
+
+  def get_own_platform_age(self, now: Seconds) -> Seconds | None:
+    """Returns the time since this node itself reached the platform."""
+    if self._own_platform_at is None:
+      return None
+    return now - self._own_platform_at
 
   def get_echo(self, node: str) -> Seconds | None:
     """Returns what a heartbeat to a node must echo."""
@@ -147,6 +162,9 @@
       return None
     return now - self._platform_at
 
+  def _note_platform(self, asked_at: Seconds) -> None:
+    self._platform_at = max(self._platform_at or asked_at, asked_at)
+
   def list_others(self) -> list[Member]:
     """Lists the other nodes, whether alive or not, by name."""
     known = self._registered | self._heard
@@ -160,7 +178,7 @@
     heard_at = self._heard_at.get(node)
     if heard_at is None:
       return False
-    return now - heard_at < defaults.HEARTBEAT_TIMEOUT_S
+    return now - heard_at < self._alive_s
 
   def list_serving(self, now: Seconds) -> list[Member]:
     """Lists the nodes that are alive and not leaving, this one included."""
