--- a/packages/gateway/src/bronzefold/gateway/health.py
+++ b/packages/gateway/src/bronzefold/gateway/health.py
@@ -13,6 +13,7 @@
 _DEVIATIONS = 2.0
 _STALL_FLOOR_S = 0.01
 _FADE_S = 2.0
+_REFUSAL_COST_S = 0.1
 _FIRST_BACKOFF_S = 0.25
 _MAX_BACKOFF_S = 2.0
 _FAILURES_UNTIL_DOWN = 2
@@ -26,6 +27,8 @@
     latency_s: Smoothed latency; None before the first reply.
     deviation_s: Smoothed deviation of the latency.
     last_reply_at: Monotonic time of the last reply.
+    refusal_rate: Smoothed share of the requests that it refused to run.
+    refused_at: Monotonic time of the last refusal.
     failures: Failures since the last reply.
     down_until: Monotonic time until which it is avoided.
     in_flight: Start times of the requests without a reply, by attempt.
@@ -34,6 +37,8 @@
   latency_s: Seconds | None = None
   deviation_s: Seconds = 0.0
   last_reply_at: Seconds = 0.0
+  refusal_rate: float = 0.0
+  refused_at: Seconds = 0.0
   failures: int = 0
   down_until: Seconds = 0.0
   in_flight: dict[int, Seconds] = attrs.field(factory=dict)
@@ -48,9 +53,15 @@
       self.deviation_s += _DEVIATION_GAIN * (error - self.deviation_s)
       self.latency_s += _GAIN * (latency_s - self.latency_s)
     self.last_reply_at = now
+    self.refusal_rate -= _GAIN * self.refusal_rate
     self.failures = 0
     self.down_until = 0.0
 
+  def record_refusal(self, now: Seconds) -> None:
+    """Takes note that it refused to run a request."""
+    self.refusal_rate += _GAIN * (1.0 - self.refusal_rate)
+    self.refused_at = now
+
   def record_failure(self, now: Seconds, is_certain: bool = False) -> None:
     """Takes note of a failure.
 
@@ -89,7 +100,9 @@
       usual_s: Latency of its siblings.
       now: Monotonic time.
     """
+    refusals = self.refusal_rate * math.exp((self.refused_at - now) / _FADE_S)
+    penalty_s = refusals * _REFUSAL_COST_S
     if self.latency_s is None:
-      return usual_s
-    weight = math.exp(-(now - self.last_reply_at) / _FADE_S)
-    return usual_s + (self.latency_s - usual_s) * weight
+      return usual_s + penalty_s
+    weight = math.exp((self.last_reply_at - now) / _FADE_S)
+    return usual_s + (self.latency_s - usual_s) * weight + penalty_s
--- a/packages/gateway/src/bronzefold/gateway/inventory.py
+++ b/packages/gateway/src/bronzefold/gateway/inventory.py
@@ -24,12 +24,14 @@
     pool: Connections to it.
     health: Estimates.
     leaving_since: Monotonic time at which its leaving was learned.
+    is_replaced: True once another upstream answered at its address.
   """
 
   instance: model.Instance
   pool: channel.ChannelPool
   health: health.Health = attrs.field(factory=health.Health)
   leaving_since: Seconds | None = None
+  is_replaced: bool = False
 
 
 class Inventory:
@@ -63,6 +65,7 @@
       upstream
       for upstream in self._by_service.get(service, {}).values()
       if upstream.instance.zone not in self.evacuated
+      and not upstream.is_replaced
       and (
         upstream.leaving_since is None
         or now - upstream.leaving_since < LEAVING_GRACE_S
--- a/packages/gateway/src/bronzefold/gateway/model.py
+++ b/packages/gateway/src/bronzefold/gateway/model.py
@@ -170,6 +170,7 @@
     body: The whole body.
     seal: Signature of the answer; empty if it has none.
     not_run: True when the upstream states that the request did not run.
+    is_misdirected: True when another upstream has the address now.
     instance: Id of the answering upstream, if it names itself.
     load: Running and waiting requests that the upstream reports.
   """
@@ -179,6 +180,7 @@
   body: bytes
   seal: bytes = b""
   not_run: bool = False
+  is_misdirected: bool = False
   instance: str = ""
   load: int | None = None
 
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -211,6 +211,10 @@
     reply = self._protocol.decode_reply(done.result())
     if reply.not_run:
       self._end(attempt, Ending.NOT_RUN, reply=reply)
+      if reply.is_misdirected:
+        attempt.upstream.is_replaced = True
+      else:
+        seen.record_refusal(now)
     elif 200 <= reply.status < 300 and reply.seal:
       self._end(attempt, Ending.SERVED, reply=reply)
       seen.record_reply(now - attempt.started_at, now)
