--- a/packages/core/src/bronzefold/core/budgets.py
+++ b/packages/core/src/bronzefold/core/budgets.py
@@ -102,15 +102,20 @@
     """Takes note of an ordinary request."""
     self._get_slice(now).ordinary += 1
 
-  def try_spend(self, now: Seconds) -> bool:
-    """Spends one extra request; False when none is left."""
+  def try_spend(self, now: Seconds, share: float = 1.0) -> bool:
+    """Spends one extra request; False when none is left.
+
+    Args:
+      now: Monotonic time.
+      share: Part of the budget that requests of this kind may use up.
+    """
     current = self._get_slice(now)
     whole_since = now - self._window_s
     ordinary = sum(
       kept.ordinary for kept in self._slices if kept.started_at >= whole_since
     )
     extra = sum(kept.extra for kept in self._slices)
-    if extra + 1 > self.ratio * ordinary + self.slack:
+    if extra + 1 > share * (self.ratio * ordinary + self.slack):
       return False
     current.extra += 1
     return True
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -22,7 +22,11 @@
 HEDGE_QUANTILE = 0.9
 RETRY_AFTER_S = 0.05
 NOT_READY_RETRY_AFTER_S = 0.3
+# The rest is for nodes that start again while upstreams still hold the
+# connections of their predecessors.
+CONNECTION_SHARE = 0.65
 EXTRA_SHARE = 0.9
+HOME_ZONE_SHARE = 0.25
 SLACK_SHARE = 0.5
 
 _logger = logging.getLogger(__name__)
@@ -82,6 +86,15 @@
       budget.ratio = EXTRA_SHARE * own.retry_ratio
       budget.slack = self._share_slack()
 
+  def list_home_zones(self) -> set[str]:
+    """Lists the availability zones that hold most upstreams of searches."""
+    if self.configuration is None:
+      return set()
+    services = {s for route in self.configuration.routes for s in route.shards}
+    counts = self.upstreams.count_by_zone(services)
+    least = HOME_ZONE_SHARE * max(counts.values(), default=0)
+    return {zone for zone, count in counts.items() if count >= least}
+
   def apply(self, change: changes.Change, now: Seconds) -> None:
     """Applies a change that the store has acknowledged."""
     changes.apply_change(self, change, now)
@@ -170,7 +183,8 @@
     known = self.configuration and self.configuration.services.get(service)
     if not known:
       return 1
-    return max(1, known.max_connections // self.node_count)
+    share = CONNECTION_SHARE * known.max_connections / self.node_count
+    return max(1, int(share))
 
   def _share_slack(self) -> float:
     return SLACK_SHARE * self._own.retry_slack / self.node_count
--- a/packages/gateway/src/bronzefold/gateway/inventory.py
+++ b/packages/gateway/src/bronzefold/gateway/inventory.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import attrs
 
@@ -13,6 +14,7 @@
 from bronzefold.upstreams import channel
 
 LEAVING_GRACE_S = 1.2
+MAX_REPORT_DELAY_S = 2.0  # heartbeat of 1.2 s and pause of a watch of 0.8 s
 
 
 @attrs.define(eq=False)
@@ -81,6 +83,8 @@
     known = self._upstreams.get(instance.id)
     if known is not None and _is_same_process(known.instance, instance):
       before = known.instance
+      cold_until = _merge_warm_up(before.cold_until, instance.cold_until)
+      instance = attrs.evolve(instance, cold_until=cold_until)
       known.instance = instance
       if not instance.draining:
         known.leaving_since = None
@@ -126,6 +130,15 @@
     for upstream in self._upstreams.values():
       upstream.pool.limit = self._get_limit(upstream.instance.service)
 
+  def count_by_zone(self, services: Iterable[str]) -> collections.Counter[str]:
+    """Counts the upstreams of services that stay, by availability zone."""
+    return collections.Counter(
+      upstream.instance.zone
+      for service in services
+      for upstream in self._by_service.get(service, {}).values()
+      if upstream.leaving_since is None and not upstream.is_replaced
+    )
+
   def count(self) -> int:
     """Counts the registered upstreams."""
     return len(self._upstreams)
@@ -136,6 +149,17 @@
     del self._by_service[upstream.instance.service][instance_id]
 
 
+def _merge_warm_up(known_until: Seconds, told_until: Seconds) -> Seconds:
+  """Returns when an upstream is warm, from two reports of it.
+
+  A report tells the time left at its writing and is read later, so the
+  earliest estimate is the truest, unless the upstream has turned cold again.
+  """
+  if told_until > known_until + MAX_REPORT_DELAY_S:
+    return told_until
+  return min(known_until, told_until)
+
+
 def _is_same_process(old: model.Instance, new: model.Instance) -> bool:
   return (
     old.address == new.address
--- a/packages/gateway/src/bronzefold/gateway/queries.py
+++ b/packages/gateway/src/bronzefold/gateway/queries.py
@@ -26,8 +26,8 @@
 MAX_HEDGE_SHARE = 0.5
 FIRST_HEDGE_SHARE = 0.3
 MAX_REFUSALS = 3
-MIN_SEND_BUDGET_S = 0.002
-HEDGE_RETRY_S = 0.01
+BUSY_RETRY_S = 0.005
+HEDGE_BUDGET_SHARE = 0.6
 TIMER_SLACK_S = 0.0005
 
 
@@ -41,7 +41,7 @@
     part: The first whole success.
     failure: The last attempt that ended otherwise.
     is_closed: True once no further attempt will be made.
-    hedge_at: Monotonic time of the next try to hedge.
+    next_at: Monotonic time of the next try to send.
   """
 
   service: str
@@ -49,7 +49,7 @@
   part: model.Reply | None = None
   failure: sending.Attempt | None = None
   is_closed: bool = False
-  hedge_at: Seconds = math.inf
+  next_at: Seconds = math.inf
 
   @property
   def has_pending(self) -> bool:
@@ -141,8 +141,7 @@
     try:
       for shard in self.shards:
         self._means.get_budget(shard.service).earn(now)
-        self._try_send(shard, now)
-        shard.hedge_at = now + self._hedge_after_s
+        self._send_first(shard, now)
       while not self._is_settled(answer_at, now):
         wake_at = self._get_wake_time(answer_at, now)
         with anyio.move_on_after(max(0.0, wake_at - now)):
@@ -150,7 +149,7 @@
         self._wake = anyio.Event()
         now = clock.read_monotonic()
         self._take_ended(now)
-        self._send_hedges(now)
+        self._send_due(answer_at, now)
     finally:
       self._abandon_rest()
 
@@ -172,26 +171,63 @@
     if self._route.shards and answer_at > now:
       times.append(answer_at)
     times.extend(
-      shard.hedge_at for shard in self.shards if self._may_hedge(shard)
+      shard.next_at for shard in self.shards if self._may_send(shard)
     )
     return min(times)
 
-  def _may_hedge(self, shard: Shard) -> bool:
+  def _may_send(self, shard: Shard) -> bool:
+    if shard.part is not None or shard.is_closed:
+      return False
+    if not shard.attempts:
+      return True
     return (
-      shard.part is None
-      and not shard.is_closed
-      and self._route.idempotent
-      and len(shard.attempts) < self._route.max_attempts
+      self._route.idempotent and len(shard.attempts) < self._route.max_attempts
     )
 
-  def _send_hedges(self, now: Seconds) -> None:
+  def _send_due(self, answer_at: Seconds, now: Seconds) -> None:
     for shard in self.shards:
-      if not self._may_hedge(shard) or now < shard.hedge_at - TIMER_SLACK_S:
+      if not self._may_send(shard) or now < shard.next_at - TIMER_SLACK_S:
         continue
-      before = len(shard.attempts)
-      self._send_extra(shard, now)
-      self.hedges += len(shard.attempts) - before
-      shard.hedge_at = now + HEDGE_RETRY_S
+      if shard.attempts:
+        self._hedge(shard, answer_at, now)
+      else:
+        self._send_first(shard, now)
+
+  def _send_first(self, shard: Shard, now: Seconds) -> None:
+    """Sends, or waits while all usable upstreams are busy."""
+    usable, chosen = self._choose(shard, now)
+    if chosen is not None:
+      self._send(shard, chosen, now)
+      shard.next_at = now + self._hedge_after_s
+    elif usable:
+      shard.next_at = now + BUSY_RETRY_S
+    else:
+      shard.is_closed = True
+
+  def _hedge(self, shard: Shard, answer_at: Seconds, now: Seconds) -> None:
+    """Sends beside a pending attempt if that can still help in time."""
+    shard.next_at = now + BUSY_RETRY_S
+    usable, chosen = self._choose(shard, now)
+    if chosen is None:
+      return
+    usual_s = selection.get_usual_latency(usable)
+    done_at = now + chosen.health.expect_latency(usual_s, now)
+    if now < answer_at < done_at:
+      shard.next_at = answer_at
+      return
+    budget = self._means.get_budget(shard.service)
+    if budget.try_spend(now, HEDGE_BUDGET_SHARE):
+      self._send(shard, chosen, now)
+      self.hedges += 1
+
+  def _retry(self, shard: Shard, now: Seconds) -> None:
+    """Sends after an attempt that has failed."""
+    _, chosen = self._choose(shard, now)
+    if chosen is None:
+      return
+    if self._means.get_budget(shard.service).try_spend(now):
+      self._send(shard, chosen, now)
+      self.retries += 1
 
   def _take_ended(self, now: Seconds) -> None:
     ended, self._ended = self._ended, []
@@ -208,9 +244,7 @@
       return
     shard.failure = attempt
     if self._may_retry(shard, attempt):
-      before = len(shard.attempts)
-      self._send_extra(shard, now)
-      self.retries += len(shard.attempts) - before
+      self._retry(shard, now)
     shard.is_closed = not shard.has_pending
 
   def _may_retry(self, shard: Shard, attempt: sending.Attempt) -> bool:
@@ -220,30 +254,23 @@
       return False
     return self._route.idempotent or not shard.may_have_run
 
-  def _send_extra(self, shard: Shard, now: Seconds) -> None:
-    """Sends once more, if an upstream and the budget are there."""
-    self._try_send(shard, now, self._means.get_budget(shard.service))
+  def _choose(
+    self, shard: Shard, now: Seconds
+  ) -> tuple[list[inventory.Upstream], inventory.Upstream | None]:
+    """Returns the usable upstreams, and the one to send to if any is free."""
+    candidates = self._means.upstreams.list_service(shard.service, now)
+    tried = {attempt.upstream.instance.id for attempt in shard.attempts}
+    usable = selection.list_usable(candidates, tried, now)
+    chosen = selection.choose_upstream(usable, tried, self._means.zone, now)
+    return usable, chosen
 
-  def _try_send(
-    self,
-    shard: Shard,
-    now: Seconds,
-    budget: budgets.WindowBudget | None = None,
+  def _send(
+    self, shard: Shard, chosen: inventory.Upstream, now: Seconds
   ) -> None:
-    left_s = self._deadline - now
-    candidates = self._means.upstreams.list_service(shard.service, now)
-    tried = {a.upstream.instance.id for a in shard.attempts}
-    chosen = selection.choose_upstream(candidates, tried, self._means.zone, now)
-    if chosen is None or left_s < MIN_SEND_BUDGET_S:
-      shard.is_closed = not shard.has_pending
-      return
-    if budget is not None and not budget.try_spend(now):
-      shard.is_closed = not shard.has_pending
-      return
     attempt = self._means.sender.start(
       self._request,
       chosen,
-      left_s,
+      self._deadline - now,
       now,
       lambda ended: self._note_end(shard, ended),
     )
--- a/packages/gateway/src/bronzefold/gateway/selection.py
+++ b/packages/gateway/src/bronzefold/gateway/selection.py
@@ -36,20 +36,12 @@
   """
   usable = [
     upstream
-    for upstream in candidates
-    if upstream.instance.id not in excluded
-    and upstream.pool.has_room
-    and not upstream.health.is_down(now)
-    and upstream.instance.cold_until <= now
+    for upstream in list_usable(candidates, excluded, now)
+    if upstream.pool.has_room
   ]
   if len(usable) < 2:
     return usable[0] if usable else None
-  usual_s = min(
-    itertools.chain(
-      (u.health.latency_s for u in usable if u.health.latency_s is not None),
-      (_USUAL_LATENCY_S,),
-    )
-  )
+  usual_s = get_usual_latency(usable)
 
   def rank(upstream: inventory.Upstream) -> tuple[bool, bool, float]:
     seen = upstream.health
@@ -64,3 +56,23 @@
     )
 
   return min(usable, key=rank)
+
+
+def list_usable(
+  candidates: list[inventory.Upstream], excluded: Collection[str], now: Seconds
+) -> list[inventory.Upstream]:
+  """Lists the candidates that are neither excluded nor down nor cold."""
+  return [
+    upstream
+    for upstream in candidates
+    if upstream.instance.id not in excluded
+    and not upstream.health.is_down(now)
+    and upstream.instance.cold_until <= now
+  ]
+
+
+def get_usual_latency(upstreams: list[inventory.Upstream]) -> Seconds:
+  """Returns the latency to expect of an upstream that was not observed."""
+  seen = (upstream.health.latency_s for upstream in upstreams)
+  known = (latency_s for latency_s in seen if latency_s is not None)
+  return min(itertools.chain(known, (_USUAL_LATENCY_S,)))
