--- a/packages/core/src/bronzefold/core/budgets.py
+++ b/packages/core/src/bronzefold/core/budgets.py
@@ -84,14 +84,24 @@
   counts in full as extra and not at all as ordinary.
   """
 
-  def __init__(self, ratio: float, slack: float, window_s: Seconds) -> None:
+  def __init__(
+    self,
+    ratio: float,
+    slack: float,
+    window_s: Seconds,
+    grows_from: Seconds | None = None,
+  ) -> None:
     """Creates a budget.
 
     Args:
       ratio: Extra requests for each ordinary one.
       slack: Extra requests besides.
       window_s: Length of the window.
+      grows_from: Monotonic time from which the slack grows to its full size
+        within a window; None if it is full from the start. An earlier process
+        may have spent it.
     """
+    self._grows_from = grows_from
     self.ratio = ratio
     self.slack = slack
     self._window_s = window_s
@@ -115,11 +125,18 @@
       kept.ordinary for kept in self._slices if kept.started_at >= whole_since
     )
     extra = sum(kept.extra for kept in self._slices)
-    if extra + 1 > share * (self.ratio * ordinary + self.slack):
+    allowed = self.ratio * ordinary + self._get_slack(now)
+    if extra + 1 > share * allowed:
       return False
     current.extra += 1
     return True
 
+  def _get_slack(self, now: Seconds) -> float:
+    if self._grows_from is None:
+      return self.slack
+    grown = (now - self._grows_from) / self._window_s
+    return self.slack * min(1.0, max(0.0, grown))
+
   def _get_slice(self, now: Seconds) -> _Slice:
     cut_off = now - self._window_s - self._slice_s
     while self._slices and self._slices[0].started_at <= cut_off:
--- a/packages/gateway/src/bronzefold/gateway/fleet.py
+++ b/packages/gateway/src/bronzefold/gateway/fleet.py
@@ -14,14 +14,12 @@
 from bronzefold.peers import membership
 from bronzefold.peers import messages
 
-HEARTBEAT_S = 0.4
-ALIVE_S = 1.1
+HEARTBEAT_S = 0.5
+ALIVE_S = 1.3
 FRESH_S = 2.0
 SYNC_PAUSE_S = 1.0
 COUNTED_S = 15.0
 MAX_ADDRESSES = 64
-MIN_NEAR_NODES = 2
-MIN_NEAR_SHARE = 0.34
 
 _SEED_PREFIX = "seed/"
 
@@ -71,16 +69,8 @@
     self._send_heartbeats(now)
 
   def list_addresses(self, now: Seconds) -> list[str]:
-    """Lists where callers should send requests, at most 64 addresses.
-
-    Nodes beside the upstreams go first: a search from another zone sends all
-    its bytes between zones. The others are named when too few are beside.
-    """
+    """Lists where callers should send requests, at most 64 addresses."""
     serving = self._members.list_serving(now)
-    zones = self._gateway.list_home_zones()
-    near = [member for member in serving if member.zone in zones]
-    if len(near) >= max(MIN_NEAR_NODES, MIN_NEAR_SHARE * len(serving)):
-      serving = near
     return [member.caller_address for member in serving[:MAX_ADDRESSES]]
 
   async def handle(self, sender: str, message: Any) -> None:
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -19,15 +19,14 @@
 from bronzefold.gateway import sending
 from bronzefold.gateway import settings
 
-HEDGE_QUANTILE = 0.9
+HEDGE_QUANTILE = 0.87
 RETRY_AFTER_S = 0.05
 NOT_READY_RETRY_AFTER_S = 0.3
 # The rest is for nodes that start again while upstreams still hold the
 # connections of their predecessors.
-CONNECTION_SHARE = 0.65
-EXTRA_SHARE = 0.9
-HOME_ZONE_SHARE = 0.25
-SLACK_SHARE = 0.5
+CONNECTION_SHARE = 0.95
+EXTRA_SHARE = 0.95
+SLACK_SHARE = 0.75
 
 _logger = logging.getLogger(__name__)
 
@@ -58,6 +57,7 @@
     self.upstreams = inventory.Inventory(self._share_connections)
     self.node_count = own.assumed_nodes
     self._own = own
+    self._started_at = clock.read_monotonic()
     self._table: routing.RouteTable | None = None
     self._splits = routing.SplitCounter()
     self._budgets: dict[str, budgets.WindowBudget] = {}
@@ -86,15 +86,6 @@
       budget.ratio = EXTRA_SHARE * own.retry_ratio
       budget.slack = self._share_slack()
 
-  def list_home_zones(self) -> set[str]:
-    """Lists the availability zones that hold most upstreams of searches."""
-    if self.configuration is None:
-      return set()
-    services = {s for route in self.configuration.routes for s in route.shards}
-    counts = self.upstreams.count_by_zone(services)
-    least = HOME_ZONE_SHARE * max(counts.values(), default=0)
-    return {zone for zone, count in counts.items() if count >= least}
-
   def apply(self, change: changes.Change, now: Seconds) -> None:
     """Applies a change that the store has acknowledged."""
     changes.apply_change(self, change, now)
@@ -196,6 +187,7 @@
         EXTRA_SHARE * self._own.retry_ratio,
         self._share_slack(),
         self._own.retry_window_s,
+        None if self._own.is_first_start else self._started_at,
       )
     return budget
 
--- a/packages/gateway/src/bronzefold/gateway/inventory.py
+++ b/packages/gateway/src/bronzefold/gateway/inventory.py
@@ -4,7 +4,6 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 
 import attrs
 
@@ -130,15 +129,6 @@
     for upstream in self._upstreams.values():
       upstream.pool.limit = self._get_limit(upstream.instance.service)
 
-  def count_by_zone(self, services: Iterable[str]) -> collections.Counter[str]:
-    """Counts the upstreams of services that stay, by availability zone."""
-    return collections.Counter(
-      upstream.instance.zone
-      for service in services
-      for upstream in self._by_service.get(service, {}).values()
-      if upstream.leaving_since is None and not upstream.is_replaced
-    )
-
   def count(self) -> int:
     """Counts the registered upstreams."""
     return len(self._upstreams)
--- a/packages/gateway/src/bronzefold/gateway/queries.py
+++ b/packages/gateway/src/bronzefold/gateway/queries.py
@@ -27,7 +27,8 @@
 FIRST_HEDGE_SHARE = 0.3
 MAX_REFUSALS = 3
 BUSY_RETRY_S = 0.005
-HEDGE_BUDGET_SHARE = 0.6
+HEDGE_BUDGET_SHARE = 0.85
+HOPEFUL_SHARE = 0.5
 TIMER_SLACK_S = 0.0005
 
 
@@ -211,8 +212,8 @@
     if chosen is None:
       return
     usual_s = selection.get_usual_latency(usable)
-    done_at = now + chosen.health.expect_latency(usual_s, now)
-    if now < answer_at < done_at:
+    expected_s = chosen.health.expect_latency(usual_s, now)
+    if now < answer_at < now + HOPEFUL_SHARE * expected_s:
       shard.next_at = answer_at
       return
     budget = self._means.get_budget(shard.service)
--- a/packages/gateway/src/bronzefold/gateway/selection.py
+++ b/packages/gateway/src/bronzefold/gateway/selection.py
@@ -9,7 +9,7 @@
 from bronzefold.gateway import inventory
 
 _USUAL_LATENCY_S = 0.02
-_ZONE_PENALTY_S = 0.01
+_ZONE_PENALTY_S = 0.03
 
 
 def choose_upstream(
--- a/packages/gateway/src/bronzefold/gateway/settings.py
+++ b/packages/gateway/src/bronzefold/gateway/settings.py
@@ -27,6 +27,7 @@
     retry_window_s: Window in which extra arrivals are counted.
     stop_limit_s: Longest duration of a graceful stop.
     addresses_keep_s: How long callers may keep an answer of the directory.
+    is_first_start: True when the whole fleet starts for the first time.
     assumed_nodes: Nodes among which limits are divided until they are known.
   """
 
@@ -43,4 +44,5 @@
   retry_window_s: Seconds = 10.0
   stop_limit_s: Seconds = 6.0
   addresses_keep_s: Seconds = ADDRESSES_KEEP_S
+  is_first_start: bool = False
   assumed_nodes: int = 8
