--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -94,7 +94,6 @@
     """
     self._protocol = protocol
     self._tasks = tasks
-    self.handshakes = 0
 
   def start(
     self,
@@ -122,6 +121,7 @@
     if idle is not None:
       self._send(attempt, idle, request, budget_s, on_end)
     else:
+      upstream.pool.reserve()
       self._tasks.start_soon(
         self._open_and_send, attempt, request, now + budget_s, on_end
       )
--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -272,13 +272,19 @@
       channel.close()
     return None
 
+  def reserve(self) -> None:
+    """Reserves a connection for ``open``; the caller has seen ``has_room``.
+
+    Apart from ``open``, since that runs in a task that starts later.
+    """
+    self._in_use += 1
+
   async def open(self, timeout_s: Seconds) -> Channel:
-    """Opens a connection; the caller has seen ``has_room``.
+    """Opens the reserved connection.
 
     Raises:
       ConnectFailedError: There is no connection.
     """
-    self._in_use += 1
     self.opened += 1
     try:
       return await open_channel(self.address, timeout_s)
--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,213 @@
+"""Starts gateway nodes on the stand-in of the users' platform, for tests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+from typing import Self
+import uuid
+
+import attrs
+
+from tests import fleet
+from tests.standins import site as sites
+
+_SETTINGS = """
+nodeName = "{name}"
+role = "node"
+ip = "127.0.0.1"
+zone = "{zone}"
+internalPortRange = [{peer}, {peer}]
+seeds = [{seeds}]
+bootstrap = true
+[bindAddrs]
+front = "127.0.0.1:{front}"
+readiness = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+directory = "127.0.0.1:{directory}"
+[bounds]
+graceS = 6
+retryBudgetRatio = {ratio}
+retryWindowS = 10
+retrySlack = {slack}
+ttl_max_s = 5
+[platform]
+address = "{store}"
+"""
+
+
+@attrs.frozen
+class Reply:
+  """An answer as a caller sees it."""
+
+  status: int
+  headers: dict[str, str]
+  body: bytes
+  took_s: float
+
+  @property
+  def parts(self) -> list[str]:
+    """The signatures of a search's parts."""
+    return self.headers.get("bronzefold-part-stamps", "").split(", ")
+
+
+class Node:
+  """A node's process."""
+
+  def __init__(
+    self,
+    site: sites.Site,
+    name: str,
+    zone: str = "a",
+    seeds: tuple[int, ...] = (),
+    ratio: float = 0.2,
+    slack: float = 56,
+  ) -> None:
+    """Starts a node.
+
+    Args:
+      site: The stand-in of the platform.
+      name: Name of the node.
+      zone: Its availability zone.
+      seeds: Peer ports of other nodes.
+      ratio: Extra arrivals for each request.
+      slack: Extra arrivals besides.
+    """
+    self.name = name
+    self.directory = tempfile.TemporaryDirectory(prefix="bronzefold-")
+    ports = fleet.find_ports(5)
+    self.front, self.ready, self.control, self.lookup, self.peer = ports
+    self._path = pathlib.Path(self.directory.name) / "boot.toml"
+    self._values = {
+      "name": name,
+      "zone": zone,
+      "front": self.front,
+      "ready": self.ready,
+      "control": self.control,
+      "directory": self.lookup,
+      "peer": self.peer,
+      "seeds": ", ".join(f'"127.0.0.1:{port}"' for port in seeds),
+      "ratio": ratio,
+      "slack": slack,
+      "store": site.store_address,
+    }
+    self.write_settings()
+    self.log_path = pathlib.Path(self.directory.name) / "log"
+    with self.log_path.open("ab") as stream:
+      self.popen = subprocess.Popen(
+        [sys.executable, "-m", "bronzefold.platform"],
+        stdout=stream,
+        stderr=stream,
+        cwd=fleet.ROOT,
+        env={**os.environ, "BRONZEFOLD_CONFIG": str(self._path)},
+      )
+
+  def write_settings(self, **changed: Any) -> None:
+    """Writes the settings file."""
+    self._values.update(changed)
+    self._path.write_text(_SETTINGS.format(**self._values), "utf-8")
+
+  def __enter__(self) -> Self:
+    return self
+
+  def __exit__(self, *_: object) -> None:
+    if self.popen.poll() is None:
+      self.popen.send_signal(signal.SIGCONT)
+      self.popen.kill()
+    self.popen.wait()
+    self.directory.cleanup()
+
+  def send(
+    self,
+    path: str,
+    method: str = "GET",
+    body: bytes | None = None,
+    deadline_ms: int | None = 1000,
+    request_id: str | None = None,
+    **headers: str,
+  ) -> Reply:
+    """Sends a caller's request on a connection of its own."""
+    fields = {"Host": "shop.example", **headers}
+    fields["Bronzefold-Request-Id"] = request_id or uuid.uuid4().hex[:16]
+    if deadline_ms is not None:
+      fields["Bronzefold-Deadline-Ms"] = str(deadline_ms)
+    return call(self.front, path, method, body, fields)
+
+  def is_ready(self) -> bool:
+    """True when the readiness check passes."""
+    try:
+      return call(self.ready, "/v1/readyz").status == 200
+    except OSError:
+      return False
+
+  def look_up(self) -> list[str]:
+    """Asks the directory where to connect."""
+    query = "/v1/resolve?name=shop.example&region=r&zone=a"
+    return json.loads(call(self.lookup, query).body)["addrs"]
+
+  def read_events(self, name: str) -> list[dict[str, Any]]:
+    """Reads the log lines of an event."""
+    lines = self.log_path.read_text("utf-8").splitlines()
+    read = [json.loads(line) for line in lines if line.startswith("{")]
+    return [line for line in read if line.get("name") == name]
+
+  def wait_ready(self) -> None:
+    """Waits until the node serves."""
+    wait_until(self.is_ready, f"{self.name} is ready")
+
+  def knows(self, instance: str, state: str = "ready") -> bool:
+    """True when the node has logged that it knows of an instance's state."""
+    return any(
+      event["instance"] == instance and event["state"] == state
+      for event in self.read_events("instance_changed")
+    )
+
+  def wait_for(self, *leafs: sites.Leaf, state: str = "ready") -> None:
+    """Waits until the node knows of leafs."""
+    for leaf in leafs:
+      wait_until(lambda leaf=leaf: self.knows(leaf.id, state), leaf.id)
+
+
+def call(
+  port: int,
+  path: str,
+  method: str = "GET",
+  body: bytes | None = None,
+  headers: dict[str, str] | None = None,
+) -> Reply:
+  """Makes an HTTP request on a connection of its own."""
+  started = time.monotonic()
+  connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+  try:
+    connection.request(method, path, body, headers or {})
+    reply = connection.getresponse()
+    content = reply.read()
+  finally:
+    connection.close()
+  fields = {name.lower(): value for name, value in reply.getheaders()}
+  return Reply(reply.status, fields, content, time.monotonic() - started)
+
+
+def wait_until(
+  is_true: Callable[[], bool], what: str, limit_s: float = 10.0
+) -> None:
+  """Waits until a condition holds.
+
+  Raises:
+    AssertionError: It did not within the limit.
+  """
+  until = time.monotonic() + limit_s
+  while time.monotonic() < until:
+    if is_true():
+      return
+    time.sleep(0.02)
+  raise AssertionError(f"not within {limit_s} s: {what}")
