--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -24,7 +24,7 @@
 _SETTINGS = """
 nodeName = "{name}"
 role = "node"
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "{zone}"
 internalPortRange = [{peer}, {peer}]
 seeds = [{seeds}]
@@ -68,7 +68,9 @@
     site: sites.Site,
     name: str,
     zone: str = "a",
-    seeds: tuple[int, ...] = (),
+    ip: str = "127.0.0.1",
+    peer: int | None = None,
+    seeds: tuple[str, ...] = (),
     ratio: float = 0.2,
     slack: float = 56,
   ) -> None:
@@ -78,7 +80,9 @@
       site: The stand-in of the platform.
       name: Name of the node.
       zone: Its availability zone.
-      seeds: Peer ports of other nodes.
+      ip: Where it listens for other nodes.
+      peer: Its port for other nodes, the same on all VMs of the platform.
+      seeds: Addresses of other nodes.
       ratio: Extra arrivals for each request.
       slack: Extra arrivals besides.
     """
@@ -86,16 +90,18 @@
     self.directory = tempfile.TemporaryDirectory(prefix="bronzefold-")
     ports = fleet.find_ports(5)
     self.front, self.ready, self.control, self.lookup, self.peer = ports
+    self.peer = peer or self.peer
     self._path = pathlib.Path(self.directory.name) / "boot.toml"
     self._values = {
       "name": name,
       "zone": zone,
+      "ip": ip,
       "front": self.front,
       "ready": self.ready,
       "control": self.control,
       "directory": self.lookup,
       "peer": self.peer,
-      "seeds": ", ".join(f'"127.0.0.1:{port}"' for port in seeds),
+      "seeds": ", ".join(f'"{seed}"' for seed in seeds),
       "ratio": ratio,
       "slack": slack,
       "store": site.store_address,
--- /dev/null
+++ b/tests/test_gateway_fleet.py
@@ -0,0 +1,316 @@
+"""Gateway nodes over time: start, changes, outages, stop, each other's end."""
+
+import json
+import signal
+import subprocess
+import sys
+import threading
+import time
+import unittest
+
+from tests import fleet
+from tests import gateways
+from tests.standins import site as sites
+
+
+def make_routes(*names):
+  """Returns plain routes to the service of the same name."""
+  return [sites.make_route(name, service=name) for name in names]
+
+
+class SiteTest(unittest.TestCase):
+  """Common set-up: a store with a configuration and one leaf."""
+
+  def setUp(self):
+    self.site = self.enterContext(sites.Site())
+    self.shop = self.site.add_leaf(sites.Leaf("i-shop", "shop", b"shop"))
+
+  def configure(self, version, *names):
+    routes = make_routes(*names)
+    self.site.put("op/config", sites.make_configuration(version, routes))
+
+  def start(self, name="n0", **options):
+    return self.enterContext(gateways.Node(self.site, name, **options))
+
+  def start_ready(self, name="n0", **options):
+    node = self.start(name, **options)
+    node.wait_ready()
+    return node
+
+
+class ConfigurationTest(SiteTest):
+  """What operators and upstreams write."""
+
+  def test_before_the_first_configuration(self):
+    node = self.start()
+    gateways.wait_until(lambda: node.read_events("instance_changed"), "a read")
+    reply = node.send("/shop/x")
+    self.assertEqual(reply.status, 503)
+    self.assertGreater(float(reply.headers["retry-after"]), 0)
+    self.assertFalse(node.is_ready())
+
+  def test_change_is_in_force_in_time_and_never_goes_back(self):
+    self.configure(5, "shop")
+    node = self.start_ready()
+    self.site.add_leaf(sites.Leaf("i-new", "new", b"new"))
+    changed_at = time.monotonic()
+    self.configure(9, "shop", "new")
+    gateways.wait_until(lambda: node.send("/new/x").status == 200, "the route")
+    self.assertLess(time.monotonic() - changed_at, 3.0)
+    self.configure(8, "shop")
+    time.sleep(1.5)
+    self.assertEqual(node.send("/new/x").status, 200)
+
+  def test_unusable_entries_change_nothing(self):
+    self.configure(5, "shop")
+    node = self.start_ready()
+    self.site.put("op/config", b"\xff not json")
+    self.site.put("op/config", {"version": "new", "routes": 3})
+    self.site.put("servers/i-bytes", b"\xff\x00")
+    self.site.put("servers/i-half", {"service": "shop", "state": "ready"})
+    self.site.beat(sites.Leaf("i-odd", "shop"), state="asleep")
+    gateways.wait_until(
+      lambda: len(node.read_events("entry_refused")) >= 4, "refusals"
+    )
+    replies = [node.send("/shop/x") for _ in range(10)]
+    self.assertEqual({reply.body for reply in replies}, {b"shop"})
+
+  def test_forgotten_history(self):
+    self.configure(5, "shop")
+    node = self.start_ready()
+    gone = self.site.add_leaf(sites.Leaf("i-gone", "shop", b"gone"))
+    node.wait_for(gone)
+    self.site.store.mode = "down"
+    time.sleep(0.5)
+    self.site.remove("servers/i-gone")
+    self.configure(6, "shop", "more")
+    self.site.forget_history()
+    self.site.store.mode = "up"
+    gateways.wait_until(
+      lambda: node.read_events("history_gone"), "the new read"
+    )
+    node.wait_for(gone, state="removed")
+    self.assertEqual(node.send("/more/x").status, 503)
+
+  def test_draining_upstream_gets_nothing_after_a_while(self):
+    self.configure(5, "shop")
+    node = self.start_ready()
+    leaving = self.site.add_leaf(sites.Leaf("i-leaving", "shop", b"leaving"))
+    node.wait_for(leaving)
+    for state, change in (
+      ("draining", lambda: self.site.beat(leaving, state="draining")),
+      ("removed", lambda: self.site.remove("servers/i-leaving")),
+    ):
+      with self.subTest(state=state):
+        change()
+        time.sleep(2.5)
+        before = len(leaving.arrivals)
+        self.assertEqual({node.send("/shop/x").body for _ in range(10)}, {b"shop"})
+        self.assertEqual(len(leaving.arrivals), before)
+        self.site.beat(leaving, sequence=5)
+        time.sleep(1.5)
+
+  def test_evacuated_zone_gets_nothing_until_it_is_back(self):
+    self.configure(5, "shop")
+    node = self.start_ready()
+    other = self.site.add_leaf(sites.Leaf("i-b", "shop", b"other", zone="b"))
+    node.wait_for(other)
+    self.site.put("op/evacuate/a", {})
+    gateways.wait_until(lambda: node.read_events("zone_changed"), "the order")
+    self.assertEqual({node.send("/shop/x").body for _ in range(10)}, {b"other"})
+    self.site.remove("op/evacuate/a")
+    gateways.wait_until(
+      lambda: len(node.read_events("zone_changed")) == 2, "its end"
+    )
+    self.assertIn(b"shop", {node.send("/shop/x").body for _ in range(10)})
+
+  def test_cold_upstream_gets_nothing_while_a_warm_one_is_there(self):
+    self.configure(5, "shop")
+    node = self.start_ready()
+    cold = sites.Leaf("i-cold", "shop", b"cold")
+    self.site.add_leaf(cold, warmupLeftMs=2500)
+    node.wait_for(cold)
+    until = time.monotonic() + 1.0
+    while time.monotonic() < until:
+      self.assertEqual(node.send("/shop/x").body, b"shop")
+    self.assertEqual(cold.arrivals, [])
+    self.site.stop_leaf(self.shop)
+    gateways.wait_until(lambda: node.send("/shop/x").body == b"cold", "warm")
+
+
+class OutageTest(SiteTest):
+  """The store is away."""
+
+  def test_goes_on_without_the_store(self):
+    self.configure(5, "shop")
+    node = self.start_ready()
+    for mode in ("down", "silent"):
+      with self.subTest(mode=mode):
+        self.site.store.mode = mode
+        gateways.wait_until(
+          lambda: node.read_events("platform_lost"), "the loss"
+        )
+        self.assertEqual(node.send("/shop/x").body, b"shop")
+    self.site.store.mode = "up"
+    self.configure(6, "shop", "more")
+    gateways.wait_until(lambda: node.send("/more/x").status == 503, "contact")
+
+  def test_restarted_node_learns_from_the_others(self):
+    self.configure(5, "shop")
+    first = self.start_ready("n0")
+    self.site.store.mode = "down"
+    second = self.start(
+      "n1", ip="127.0.0.2", peer=first.peer, seeds=("127.0.0.1:9",)
+    )
+    second.wait_ready()
+    self.assertEqual(second.send("/shop/x").body, b"shop")
+
+  def test_registers_again_after_lost_answers(self):
+    self.configure(5, "shop")
+    self.site.store.mode = "lose"
+    first = self.start("n0")
+    time.sleep(1.5)
+    self.site.store.mode = "up"
+    first.wait_ready()
+    second = self.start_ready("n1")
+    gateways.wait_until(lambda: len(second.look_up()) == 2, "both nodes")
+
+
+class NodesTest(SiteTest):
+  """Nodes come and go."""
+
+  def setUp(self):
+    super().setUp()
+    self.configure(5, "shop")
+    self.nodes = [self.start_ready(f"n{number}") for number in range(3)]
+    self.addresses = {f"127.0.0.1:{node.front}" for node in self.nodes}
+    for node in self.nodes:
+      gateways.wait_until(
+        lambda node=node: set(node.look_up()) == self.addresses, "all nodes"
+      )
+
+  def test_killed_node_leaves_the_directory(self):
+    killed, *others = self.nodes
+    killed.popen.kill()
+    killed_at = time.monotonic()
+    gone = f"127.0.0.1:{killed.front}"
+    for node in others:
+      gateways.wait_until(
+        lambda node=node: gone not in node.look_up(), "the directory"
+      )
+    self.assertLess(time.monotonic() - killed_at, 4.0)
+
+  def test_paused_node_leaves_the_directory_and_comes_back(self):
+    paused, other, _ = self.nodes
+    address = f"127.0.0.1:{paused.front}"
+    paused.popen.send_signal(signal.SIGSTOP)
+    gateways.wait_until(lambda: address not in other.look_up(), "its end")
+    paused.popen.send_signal(signal.SIGCONT)
+    gateways.wait_until(lambda: address in other.look_up(), "its return")
+
+  def test_graceful_stop_cuts_nothing(self):
+    stopped, other, _ = self.nodes
+    self.shop.delay_s = 1.0
+    replies = []
+    threads = [
+      threading.Thread(
+        target=lambda: replies.append(stopped.send("/shop/x", deadline_ms=5000))
+      )
+      for _ in range(4)
+    ]
+    for thread in threads:
+      thread.start()
+    gateways.wait_until(lambda: len(self.shop.runs) >= 2, "the runs")
+    stopped.popen.send_signal(signal.SIGTERM)
+    stopped_at = time.monotonic()
+    gateways.wait_until(lambda: not stopped.is_ready(), "not ready", 1.0)
+    address = f"127.0.0.1:{stopped.front}"
+    gateways.wait_until(lambda: address not in other.look_up(), "left", 1.0)
+    late = stopped.send("/shop/x", deadline_ms=5000)
+    self.assertEqual(late.headers["connection"], "close")
+    for thread in threads:
+      thread.join()
+    self.assertEqual({reply.status for reply in replies}, {200})
+    self.assertEqual(stopped.popen.wait(6), 0)
+    self.assertLess(time.monotonic() - stopped_at, 5.5)
+
+  def test_reload_applies_settings_and_refuses_bad_ones(self):
+    node = self.nodes[0]
+    node.write_settings(ratio="[")
+    node.popen.send_signal(signal.SIGHUP)
+    gateways.wait_until(lambda: node.read_events("settings_refused"), "refusal")
+    node.write_settings(ratio=0.1)
+    node.popen.send_signal(signal.SIGHUP)
+    gateways.wait_until(lambda: node.read_events("settings_reloaded"), "reload")
+    self.assertEqual(node.send("/shop/x").status, 200)
+
+  def test_every_request_can_be_found_in_the_log(self):
+    node = self.nodes[0]
+    node.send("/shop/x", request_id="find-me")
+    (event,) = [
+      event
+      for event in node.read_events("request_answered")
+      if event["request"] == "find-me"
+    ]
+    self.assertEqual(event["outcome"], "served")
+    self.assertEqual(event["version"], 5)
+
+
+class SettingsTest(unittest.TestCase):
+  """A settings file that cannot be used."""
+
+  def test_exit_code_and_reason(self):
+    done = subprocess.run(
+      [sys.executable, "-m", "bronzefold.platform"],
+      cwd=fleet.ROOT,
+      env={"BRONZEFOLD_CONFIG": "/nowhere/boot.toml"},
+      capture_output=True,
+      text=True,
+      check=False,
+    )
+    self.assertEqual(done.returncode, 2)
+    self.assertIn("/nowhere/boot.toml", done.stderr)
+    self.assertNotIn("Traceback", done.stderr)
+
+
+class LogTest(unittest.TestCase):
+  """Log lines are bounded and never block."""
+
+  _PROGRAM = """
+import logging, time
+from bronzefold.core import events, logs
+logs.configure_logs()
+started = time.monotonic()
+for number in range(5000):
+  events.REQUEST_ANSWERED.log(logging.getLogger("x"), request=number)
+events.NODE_STOPPED.log(logging.getLogger("x"), took=time.monotonic() - started)
+time.sleep(1.1)
+events.REQUEST_ANSWERED.log(logging.getLogger("x"), request="last")
+"""
+
+  def test_flood_stays_under_the_bound(self):
+    done = subprocess.run(
+      [sys.executable, "-c", self._PROGRAM],
+      capture_output=True,
+      text=True,
+      check=True,
+    )
+    lines = [json.loads(line) for line in done.stdout.splitlines()]
+    self.assertLess(len(lines), 100)
+    (told,) = [line for line in lines if line["name"] == "suppressed"]
+    shown = sum(line["name"] == "request_answered" for line in lines)
+    self.assertEqual(told["counts"]["request_answered"] + shown, 5001)
+
+  def test_pipe_that_nobody_reads_blocks_nothing(self):
+    program = self._PROGRAM.replace("MAX", "").replace(
+      "logs.configure_logs()",
+      "logs.MAX_LINES_PER_EVENT = 10**9; logs.configure_logs()",
+    )
+    with subprocess.Popen(
+      [sys.executable, "-c", program], stdout=subprocess.PIPE
+    ) as process:
+      self.assertEqual(process.wait(20), 0)
+
+
+if __name__ == "__main__":
+  unittest.main()
