--- a/packages/core/src/bronzefold/core/logs.py
+++ b/packages/core/src/bronzefold/core/logs.py
@@ -19,6 +19,9 @@
 
   Lines above the bound are counted and told in a line of their own. When
   nobody reads standard output, lines are dropped and counted as well.
+
+  Attributes:
+    node: Name of the node, written on each line once it is known.
   """
 
   def __init__(self, descriptor: int = _STDOUT) -> None:
@@ -29,6 +32,7 @@
     """
     super().__init__()
     os.set_blocking(descriptor, False)
+    self.node = ""
     self._descriptor = descriptor
     self._period_started = 0.0
     self._counts: collections.Counter[str] = collections.Counter()
@@ -66,6 +70,8 @@
     self._write("suppressed", line)
 
   def _write(self, kind: str, line: dict) -> None:
+    if self.node:
+      line["node"] = self.node
     data = json.dumps(line, default=str, separators=(",", ":")).encode()
     try:
       os.write(self._descriptor, data + b"\n")
@@ -74,8 +80,12 @@
       self._suppressed[kind] += 1
 
 
-def configure_logs(level: int = logging.INFO) -> None:
-  """Sends all log records to standard output as bounded JSON lines."""
-  logging.basicConfig(
-    handlers=[BoundedHandler(sys.stdout.fileno())], level=level, force=True
-  )
+def configure_logs(level: int = logging.INFO) -> BoundedHandler:
+  """Sends all log records to standard output as bounded JSON lines.
+
+  Returns:
+    The handler, to be told the node's name.
+  """
+  handler = BoundedHandler(sys.stdout.fileno())
+  logging.basicConfig(handlers=[handler], level=level, force=True)
+  return handler
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -165,6 +165,7 @@
       missing=answer.missing,
       hedges=query.hedges,
       retries=query.retries,
+      withheld=query.withheld,
       tries=[
         _describe(shard) for shard in query.shards if shard.service in late
       ],
--- a/packages/gateway/src/bronzefold/gateway/program.py
+++ b/packages/gateway/src/bronzefold/gateway/program.py
@@ -200,11 +200,12 @@
   Returns:
     The exit code: 0 after a graceful stop, 2 for invalid settings.
   """
-  logs.configure_logs()
+  handler = logs.configure_logs()
   try:
     own = translation.load_settings()
   except exceptions.SettingsError as error:
     print(error.detail, file=sys.stderr)
     return _EXIT_BAD_SETTINGS
+  handler.node = own.node
   anyio.run(_run, translation, own, backend_options={"use_uvloop": True})
   return 0
--- a/packages/gateway/src/bronzefold/gateway/queries.py
+++ b/packages/gateway/src/bronzefold/gateway/queries.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import math
@@ -27,6 +28,7 @@
 FIRST_HEDGE_SHARE = 0.3
 MAX_REFUSALS = 3
 BUSY_RETRY_S = 0.005
+BUDGET_RETRY_S = 0.02
 HEDGE_BUDGET_SHARE = 0.85
 HOPEFUL_SHARE = 0.5
 TIMER_SLACK_S = 0.0005
@@ -94,6 +96,7 @@
     shards: Its shards.
     hedges: Count of attempts beside one that had not ended.
     retries: Count of attempts after one that had failed.
+    withheld: Counts of attempts that were not made, by reason.
   """
 
   def __init__(
@@ -116,6 +119,7 @@
     self.shards = [Shard(service) for service in services]
     self.hedges = 0
     self.retries = 0
+    self.withheld: collections.Counter[str] = collections.Counter()
     self._means = means
     self._request = request
     self._route = route
@@ -210,25 +214,33 @@
     shard.next_at = now + BUSY_RETRY_S
     usable, chosen = self._choose(shard, now)
     if chosen is None:
+      self.withheld["hedge: busy" if usable else "hedge: no upstream"] += 1
       return
     usual_s = selection.get_usual_latency(usable)
     expected_s = chosen.health.expect_latency(usual_s, now)
     if now < answer_at < now + HOPEFUL_SHARE * expected_s:
+      self.withheld["hedge: too slow"] += 1
       shard.next_at = answer_at
       return
     budget = self._means.get_budget(shard.service)
     if budget.try_spend(now, HEDGE_BUDGET_SHARE):
       self._send(shard, chosen, now)
       self.hedges += 1
+    else:
+      self.withheld["hedge: budget"] += 1
+      shard.next_at = now + BUDGET_RETRY_S
 
   def _retry(self, shard: Shard, now: Seconds) -> None:
     """Sends after an attempt that has failed."""
     _, chosen = self._choose(shard, now)
     if chosen is None:
+      self.withheld["retry: no upstream"] += 1
       return
     if self._means.get_budget(shard.service).try_spend(now):
       self._send(shard, chosen, now)
       self.retries += 1
+    else:
+      self.withheld["retry: budget"] += 1
 
   def _take_ended(self, now: Seconds) -> None:
     ended, self._ended = self._ended, []
--- a/packages/operators/src/bronzefold/operators/commands.py
+++ b/packages/operators/src/bronzefold/operators/commands.py
@@ -8,6 +8,7 @@
 import datetime
 import enum
 import pathlib
+import sys
 
 import attrs
 from expression import Result
@@ -20,6 +21,7 @@
 from bronzefold.core import documents
 from bronzefold.core import exceptions
 from bronzefold.operators import changes
+from bronzefold.operators import explanation
 from bronzefold.operators import fleet
 from bronzefold.store import keys
 
@@ -76,6 +78,7 @@
 
 
 COMMANDS: dict[str, CommandEntry] = {}
+LOCAL_COMMANDS = frozenset(("check", "explain"))
 
 
 def register_command(
@@ -102,6 +105,28 @@
   return Exit.DONE
 
 
+@register_command("explain", "REQUEST FILE", "tell a request's story from logs")
+async def explain(context: Context, arguments: Sequence[str]) -> Exit:
+  """Explains a request from log lines of a file, or of standard input."""
+  request, path = arguments
+  try:
+    text = sys.stdin.read() if path == "-" else _read_text(path)
+  except OSError as error:
+    context.write(f"{path}: {error.strerror}")
+    return Exit.INVALID
+  story = explanation.explain_request(request, text.splitlines())
+  if not story:
+    context.write(f"no line names {request}")
+    return Exit.FAILED
+  for line in story:
+    context.write(line)
+  return Exit.DONE
+
+
+def _read_text(path: str) -> str:
+  return pathlib.Path(path).read_text("utf-8", errors="replace")
+
+
 @register_command("apply", "FILE", "put a document in force on every node")
 async def apply(context: Context, arguments: Sequence[str]) -> Exit:
   """Applies a document and waits until it is in force."""
--- a/packages/operators/src/bronzefold/operators/main.py
+++ b/packages/operators/src/bronzefold/operators/main.py
@@ -74,7 +74,7 @@
   if entry is None or len(arguments) != entry.arity:
     print(make_usage(), file=sys.stderr)
     return commands.Exit.INVALID
-  if not _PLATFORM.value and name != "check":
+  if not _PLATFORM.value and name not in commands.LOCAL_COMMANDS:
     print("--platform is missing", file=sys.stderr)
     return commands.Exit.INVALID
   return anyio.run(_run_command, name, arguments)
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+from bronzefold.operators import explanation
 from tests import fleet
 from tests import gateways
 from tests.standins import site as sites
@@ -105,7 +106,9 @@
         change()
         time.sleep(2.5)
         before = len(leaving.arrivals)
-        self.assertEqual({node.send("/shop/x").body for _ in range(10)}, {b"shop"})
+        self.assertEqual(
+          {node.send("/shop/x").body for _ in range(10)}, {b"shop"}
+        )
         self.assertEqual(len(leaving.arrivals), before)
         self.site.beat(leaving, sequence=5)
         time.sleep(1.5)
@@ -255,6 +258,26 @@
     self.assertEqual(event["outcome"], "served")
     self.assertEqual(event["version"], 5)
 
+  def test_cause_of_a_failed_request_is_found_by_its_id(self):
+    """Each kind of failure is told apart by what the logs of one id say."""
+    node = self.nodes[0]
+    causes = (
+      ("reset", "may-have-run", "answer_lost", "i-shop:unknown"),
+      ("shed", "refused", "not_run", "i-shop:not_run"),
+      ("fail", "failed", "upstream_failed", "i-shop:failed"),
+    )
+    for behaviour, request, outcome, attempt in causes:
+      with self.subTest(behaviour=behaviour):
+        self.shop.behaviour = behaviour
+        node.send("/shop/x", request_id=request)
+        lines = node.log_path.read_text("utf-8").splitlines()
+        story = "\n".join(explanation.explain_request(request, lines))
+        self.assertIn(f"outcome={outcome}", story)
+        self.assertIn(attempt, story)
+        self.assertIn("n0", story)
+        self.assertIn("routes_applied", story)
+    self.assertEqual(explanation.explain_request("nobody", lines), [])
+
 
 class SettingsTest(unittest.TestCase):
   """A settings file that cannot be used."""
