--- a/packages/node/src/bronzefold/node/metrics.py
+++ b/packages/core/src/bronzefold/core/metrics.py
@@ -33,6 +33,11 @@
       buckets=[0.5, 0.9, 0.99, 0.999, 1.0],
       registry=self._registry,
     )
+    self._sends = aioprometheus.Counter(
+      "bronzefold_sends_total",
+      "Requests sent to upstreams, or withheld, by reason.",
+      registry=self._registry,
+    )
     self._gauges = aioprometheus.Gauge(
       "bronzefold_state",
       "Counts of the node's present state, by name.",
@@ -51,6 +56,11 @@
     """Counts the coverage of an answer."""
     self._coverage.observe({"service": service}, share)
 
+  def record_sends(self, reason: str, count: int = 1) -> None:
+    """Counts requests to upstreams, or ones that were withheld."""
+    if count:
+      self._sends.add({"reason": reason}, count)
+
   def set_state(self, name: str, value: float) -> None:
     """Sets a count of the node's present state."""
     self._gauges.set({"name": name}, value)
--- a/packages/gateway/src/bronzefold/gateway/application.py
+++ b/packages/gateway/src/bronzefold/gateway/application.py
@@ -19,6 +19,8 @@
 from bronzefold.gateway import model
 from bronzefold.gateway import settings
 
+METRICS_PATH = "/metrics"
+
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
@@ -77,6 +79,7 @@
       _read_port(own.request_address): self._serve_request,
       _read_port(own.readiness_address): self._serve_readiness,
       _read_port(own.directory_address): self._serve_directory,
+      _read_port(own.metrics_address): self._serve_metrics,
     }
 
   def open_sockets(self, backlog: int) -> list[socket.socket]:
@@ -89,6 +92,7 @@
       self._own.request_address,
       self._own.readiness_address,
       self._own.directory_address,
+      self._own.metrics_address,
     )
     return [
       socket.create_server(
@@ -128,6 +132,20 @@
     json_type = ((b"content-type", b"application/json"),)
     await self._send(send, model.Answer(200, json_type, body))
 
+  async def _serve_metrics(
+    self, scope: dict[str, Any], receive: Receive, send: Send, now: Seconds
+  ) -> None:
+    del receive, now
+    if scope["path"] != METRICS_PATH:
+      await self._send(send, model.Answer(404))
+      return
+    self._gateway.update_metrics()
+    body, headers = self._gateway.metrics.render([])
+    fields = tuple(
+      (name.lower().encode(), value.encode()) for name, value in headers.items()
+    )
+    await self._send(send, model.Answer(200, fields, body))
+
   async def _serve_request(
     self,
     scope: dict[str, Any],
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -9,6 +9,7 @@
 from bronzefold.core import budgets
 from bronzefold.core import clock
 from bronzefold.core import events
+from bronzefold.core import metrics
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import changes
 from bronzefold.gateway import inventory
@@ -38,6 +39,7 @@
     configuration: The configuration in force; None before the first.
     upstreams: The upstreams.
     node_count: Nodes among which limits are divided.
+    metrics: What it counts.
   """
 
   def __init__(
@@ -56,6 +58,7 @@
     self.configuration: model.Configuration | None = None
     self.upstreams = inventory.Inventory(self._share_connections)
     self.node_count = own.assumed_nodes
+    self.metrics = metrics.Metrics()
     self._own = own
     self._started_at = clock.read_monotonic()
     self._table: routing.RouteTable | None = None
@@ -138,8 +141,35 @@
       _answer_search(query, route) if route.shards else _answer_plain(query)
     )
     self._log(request, route, query, answer)
+    self._count(request, route, query, answer)
     return answer
 
+  def update_metrics(self) -> None:
+    """Sets the metrics of the present state."""
+    version = self.configuration.version if self.configuration else 0
+    self.metrics.set_state("configuration_version", version)
+    self.metrics.set_state("upstreams", self.upstreams.count())
+    self.metrics.set_state("nodes", self.node_count)
+
+  def _count(
+    self,
+    request: model.Request,
+    route: model.Route,
+    query: queries.Query,
+    answer: model.Answer,
+  ) -> None:
+    took_s = clock.read_monotonic() - request.received_at
+    self.metrics.record_request("gateway", route.name, answer.outcome, took_s)
+    if answer.missing is not None:
+      share = len(query.parts) / len(query.shards)
+      self.metrics.record_coverage(route.name, share)
+    sends = sum(len(shard.attempts) for shard in query.shards)
+    self.metrics.record_sends("first", sends - query.hedges - query.retries)
+    self.metrics.record_sends("hedge", query.hedges)
+    self.metrics.record_sends("retry", query.retries)
+    for reason, count in query.withheld.items():
+      self.metrics.record_sends(f"withheld {reason}", count)
+
   def _log(
     self,
     request: model.Request,
--- a/packages/gateway/src/bronzefold/gateway/settings.py
+++ b/packages/gateway/src/bronzefold/gateway/settings.py
@@ -19,6 +19,7 @@
     request_address: IP:port for callers' requests.
     readiness_address: IP:port for readiness checks.
     directory_address: IP:port for questions of where to connect.
+    metrics_address: IP:port for metrics.
     peer_address: IP:port for other nodes.
     store_address: IP:port of the store.
     seed_peers: Peer addresses to try while no other node is known.
@@ -36,6 +37,7 @@
   request_address: str
   readiness_address: str
   directory_address: str
+  metrics_address: str
   peer_address: str
   store_address: str
   seed_peers: tuple[str, ...] = ()
--- a/packages/node/src/bronzefold/node/node.py
+++ b/packages/node/src/bronzefold/node/node.py
@@ -22,6 +22,7 @@
 from bronzefold.core import documents
 from bronzefold.core import events
 from bronzefold.core import exceptions
+from bronzefold.core import metrics
 from bronzefold.core import ranges
 from bronzefold.core import settings
 from bronzefold.core import supervision
@@ -35,7 +36,6 @@
 from bronzefold.node import gossip
 from bronzefold.node import leadership
 from bronzefold.node import merges
-from bronzefold.node import metrics
 from bronzefold.node import ownership
 from bronzefold.node import routing
 from bronzefold.node import search
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -88,8 +88,9 @@
     """
     self.name = name
     self.directory = tempfile.TemporaryDirectory(prefix="bronzefold-")
-    ports = fleet.find_ports(5)
-    self.front, self.ready, self.control, self.lookup, self.peer = ports
+    ports = fleet.find_ports(6)
+    self.front, self.ready, self.control, self.lookup, *ports = ports
+    self.peer, self.metrics = ports
     self.peer = peer or self.peer
     self._path = pathlib.Path(self.directory.name) / "boot.toml"
     self._values = {
@@ -114,7 +115,11 @@
         stdout=stream,
         stderr=stream,
         cwd=fleet.ROOT,
-        env={**os.environ, "BRONZEFOLD_CONFIG": str(self._path)},
+        env={
+          **os.environ,
+          "BRONZEFOLD_CONFIG": str(self._path),
+          "BRONZEFOLD_METRICS_PORT": str(self.metrics),
+        },
       )
 
   def write_settings(self, **changed: Any) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -289,6 +289,15 @@
     arrivals = sum(len(leaf.arrivals) for leaf in self.get_leafs("shop"))
     self.assertLessEqual(arrivals - 150, 0.2 * 150 + 56)
 
+  def test_metrics(self):
+    for _ in range(3):
+      self.node.send("/plain/x")
+    text = gateways.call(self.node.metrics, "/metrics").body.decode()
+    labels = 'outcome="served",route="plain",service="gateway"'
+    self.assertIn(f"bronzefold_requests_total{{{labels}}} 3", text)
+    self.assertIn('bronzefold_sends_total{reason="first"} 3', text)
+    self.assertIn('bronzefold_state{name="configuration_version"} 7', text)
+
   def test_weights_of_a_split(self):
     route = sites.make_route(
       "split",
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -286,7 +286,10 @@
     done = subprocess.run(
       [sys.executable, "-m", "bronzefold.platform"],
       cwd=fleet.ROOT,
-      env={"BRONZEFOLD_CONFIG": "/nowhere/boot.toml"},
+      env={
+        "BRONZEFOLD_CONFIG": "/nowhere/boot.toml",
+        "BRONZEFOLD_METRICS_PORT": "1",
+      },
       capture_output=True,
       text=True,
       check=False,
