--- a/packages/gateway/src/bronzefold/gateway/changes.py
+++ b/packages/gateway/src/bronzefold/gateway/changes.py
@@ -98,8 +98,7 @@
 def _set_configuration(
   gateway: gateways.Gateway, change: ConfigurationSet, now: Seconds
 ) -> None:
-  del now
-  gateway.set_configuration(change.configuration)
+  gateway.set_configuration(change.configuration, now)
 
 
 @_register(InstanceSet)
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -5,6 +5,7 @@
 import logging
 
 from anyio import abc
+import attrs
 
 from bronzefold.core import budgets
 from bronzefold.core import clock
@@ -17,9 +18,11 @@
 from bronzefold.gateway import model
 from bronzefold.gateway import queries
 from bronzefold.gateway import routing
+from bronzefold.gateway import selection
 from bronzefold.gateway import sending
 from bronzefold.gateway import settings
 
+HOLD_S = 1.4  # 3 s to be in force, less 0.8 s between watches and a margin
 HEDGE_QUANTILE = 0.87
 RETRY_AFTER_S = 0.05
 NOT_READY_RETRY_AFTER_S = 0.3
@@ -32,6 +35,12 @@
 _logger = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class _HeldConfiguration:
+  configuration: model.Configuration
+  since: Seconds
+
+
 class Gateway:
   """Serves requests by the configuration and the upstreams that it knows.
 
@@ -61,6 +70,7 @@
     self.metrics = metrics.Metrics()
     self._own = own
     self._started_at = clock.read_monotonic()
+    self._held: _HeldConfiguration | None = None
     self._table: routing.RouteTable | None = None
     self._splits = routing.SplitCounter()
     self._budgets: dict[str, budgets.WindowBudget] = {}
@@ -93,25 +103,62 @@
     """Applies a change that the store has acknowledged."""
     changes.apply_change(self, change, now)
 
-  def set_configuration(self, configuration: model.Configuration) -> bool:
+  def set_configuration(
+    self, configuration: model.Configuration, now: Seconds
+  ) -> None:
     """Puts a configuration in force unless it is older than the present one.
 
-    Returns:
-      True when it is in force now and was not before.
+    One that names shards whose upstreams are not usable yet waits for them for
+    ``HOLD_S``, while the shards before still serve. All of it waits, since no
+    request may be handled by an older version after one by a newer.
+
+    Args:
+      configuration: The configuration.
+      now: Monotonic time at which it was learned.
     """
-    current = self.configuration
-    if current is not None and configuration.version <= current.version:
-      return False
-    self.configuration = configuration
-    self._table = routing.RouteTable(configuration)
+    newest = self._held.configuration if self._held else self.configuration
+    if newest is not None and configuration.version <= newest.version:
+      return
+    since = self._held.since if self._held else now
+    self._held = _HeldConfiguration(configuration, since)
+    self.adopt_held(now)
+
+  def adopt_held(self, now: Seconds) -> None:
+    """Puts a held configuration in force once its upstreams are usable."""
+    held = self._held
+    if held is None:
+      return
+    if now - held.since < HOLD_S and self._must_wait(held.configuration, now):
+      return
+    self._held = None
+    replaced = self.configuration
+    self.configuration = held.configuration
+    self._table = routing.RouteTable(held.configuration)
     self.upstreams.update_limits()
     events.ROUTES_APPLIED.log(
       _logger,
-      version=configuration.version,
-      routes=len(configuration.routes),
-      replaced=current.version if current else None,
+      version=held.configuration.version,
+      routes=len(held.configuration.routes),
+      replaced=replaced.version if replaced else None,
+      held_ms=round((now - held.since) * 1e3),
     )
-    return True
+
+  def _must_wait(self, new: model.Configuration, now: Seconds) -> bool:
+    if self.configuration is None:
+      return False
+    shards_before = {
+      route.name: route.shards for route in self.configuration.routes
+    }
+    return any(
+      route.shards
+      and shards_before.get(route.name, route.shards) != route.shards
+      and not all(self._has_usable(name, now) for name in route.shards)
+      for route in new.routes
+    )
+
+  def _has_usable(self, service: str, now: Seconds) -> bool:
+    candidates = self.upstreams.list_service(service, now)
+    return bool(selection.list_usable(candidates, (), now))
 
   async def handle(self, request: model.Request) -> model.Answer:
     """Answers a request.
@@ -123,6 +170,7 @@
       The answer. A refusal with 503 promises that the request did not run.
     """
     now = clock.read_monotonic()
+    self.adopt_held(now)
     if self._table is None:
       return _refuse("no_configuration", NOT_READY_RETRY_AFTER_S)
     if len(request.body) > self.configuration.limits.body_bytes:
--- a/packages/gateway/src/bronzefold/gateway/replica.py
+++ b/packages/gateway/src/bronzefold/gateway/replica.py
@@ -78,6 +78,7 @@
       if entry.revision > self._get_revision(entry.key):
         self._apply(entry, now)
     self.revision = max(self.revision, revision)
+    self._gateway.adopt_held(now)
 
   def list_changes(self, after: int) -> tuple[store.Entry, ...]:
     """Lists the entries that changed behind a revision."""
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -141,6 +141,56 @@
     gateways.wait_until(lambda: node.send("/shop/x").body == b"cold", "warm")
 
 
+class ReshardTest(SiteTest):
+  """The index is cut into another set of shards."""
+
+  def configure_search(self, version, *shards):
+    search = sites.make_route(
+      "search", gather=list(shards), topK=2, minCoverage=0.5
+    )
+    routes = [search, *make_routes("shop"), *make_routes(f"extra{version}")]
+    self.site.put("op/config", sites.make_configuration(version, routes))
+
+  def setUp(self):
+    super().setUp()
+    for number in range(2):
+      body = sites.make_records(number)
+      self.site.add_leaf(sites.Leaf(f"i-old{number}", f"old{number}", body))
+    self.configure_search(5, "old0", "old1")
+    self.node = self.start_ready()
+
+  def add_new(self, **beat):
+    for number in range(3):
+      body = sites.make_records(number)
+      leaf = sites.Leaf(f"i-new{number}", f"new{number}", body)
+      self.node.wait_for(self.site.add_leaf(leaf, **beat))
+
+  def test_cold_shards_are_waited_for(self):
+    self.add_new(warmupLeftMs=1600)
+    named_at = time.monotonic()
+    self.configure_search(7, "new0", "new1", "new2")
+    counts = []
+    while time.monotonic() < named_at + 3.0:
+      reply = self.node.send("/search/x")
+      self.assertEqual(reply.status, 200)
+      self.assertEqual(reply.headers["bronzefold-missing-parts"], "0")
+      counts.append(len(reply.parts))
+      # Nothing of the version may be in force before all of it is.
+      status = self.node.send("/extra7/x").status
+      self.assertIn(status, (404, 503) if counts[-1] == 2 else (503,))
+    self.assertEqual(sorted(counts), counts, "an older version came back")
+    self.assertEqual({2, 3}, set(counts))
+
+  def test_is_in_force_in_time_though_shards_stay_cold(self):
+    self.add_new(warmupLeftMs=20000)
+    self.configure_search(7, "new0", "new1", "new2")
+    named_at = time.monotonic()
+    gateways.wait_until(
+      lambda: self.node.send("/extra7/x").status == 503, "the version"
+    )
+    self.assertLess(time.monotonic() - named_at, 3.0)
+
+
 class OutageTest(SiteTest):
   """The store is away."""
 
