Bound heads and idle connections of callers by the configuration; HEAD; settings that change without a signal

Each was missing against the users' pages; tests failed first for 431, HEAD (it hung until its deadline) and the settings file.

--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -83,6 +83,11 @@
       self._latencies,
     )
 
+  def get_idle_limit(self) -> Seconds:
+    """Returns how long an idle connection of a caller is kept."""
+    limits = self.configuration.limits if self.configuration else None
+    return (limits or model.CallerLimits()).idle_s
+
   def set_node_count(self, count: int) -> None:
     """Divides all limits among ``count`` nodes from now on."""
     if count == self.node_count:
@@ -173,7 +178,10 @@
     self.adopt_held(now)
     if self._table is None:
       return _refuse("no_configuration", NOT_READY_RETRY_AFTER_S)
-    if len(request.body) > self.configuration.limits.body_bytes:
+    limits = self.configuration.limits
+    if request.head_bytes > limits.header_bytes:
+      return model.Answer(431, outcome="head_too_large")
+    if len(request.body) > limits.body_bytes:
       return model.Answer(413, outcome="body_too_large")
     route = self._table.find(request.host, request.path)
     if route is None:
--- a/packages/gateway/src/bronzefold/gateway/model.py
+++ b/packages/gateway/src/bronzefold/gateway/model.py
@@ -144,6 +144,7 @@
     path: Path, as sent.
     target: Path and query, as sent.
     headers: Headers to pass on, names in lower case.
+    head_bytes: Size of the head as it was sent.
     body: The body.
     received_at: Monotonic time at which its head had been read.
     budget_s: How long the caller waits, from then on; None if it did not say.
@@ -155,6 +156,7 @@
   path: str
   target: bytes
   headers: tuple[Header, ...]
+  head_bytes: int
   body: bytes
   received_at: Seconds
   budget_s: Seconds | None
--- a/packages/gateway/src/bronzefold/gateway/program.py
+++ b/packages/gateway/src/bronzefold/gateway/program.py
@@ -34,7 +34,7 @@
 STORE_TIMEOUT_S = 1.0
 LINGER_S = 2.5
 STOP_MARGIN_S = 0.5
-KEEP_ALIVE_S = 75
+SETTINGS_PERIOD_S = 3.0
 FLEET = "gateway"
 BACKLOG = 512
 
@@ -121,6 +121,7 @@
     self._tasks.start_soon(self._handle_signals)
     self._tasks.start_soon(supervision.supervise, self._follower.run_watch)
     self._tasks.start_soon(supervision.supervise, self._follower.run_lease)
+    self._tasks.start_soon(supervision.supervise, self._follow_settings)
     await self._server.serve(sockets=sockets)
     events.NODE_STOPPED.log(_logger, node=self._own.node)
 
@@ -138,12 +139,21 @@
           break
     await self._leave()
 
+  async def _follow_settings(self) -> None:
+    """Applies changes of the settings file that come without a signal."""
+    while True:
+      await anyio.sleep(SETTINGS_PERIOD_S)
+      self._reload()
+
   def _reload(self) -> None:
     try:
       own = self._translation.load_settings()
     except exceptions.SettingsError as error:
       events.SETTINGS_REFUSED.log(_logger, reason=error.detail)
       return
+    if own == self._own:
+      return
+    self._own = own
     self._gateway.update_settings(own)
     events.SETTINGS_RELOADED.log(_logger, node=own.node)
 
@@ -156,9 +166,10 @@
     await anyio.sleep(LINGER_S)
     self._server.should_exit = True
 
-  def _make_server_config(self) -> uvicorn.Config:
+  def _make_server_config(self) -> _ServerConfig:
     rest_s = self._own.stop_limit_s - LINGER_S - STOP_MARGIN_S
-    return uvicorn.Config(
+    return _ServerConfig(
+      self._gateway.get_idle_limit,
       self._application,
       log_config=None,
       access_log=False,
@@ -168,12 +179,33 @@
       proxy_headers=False,
       server_header=False,
       date_header=False,
-      timeout_keep_alive=KEEP_ALIVE_S,
       timeout_graceful_shutdown=max(1, int(rest_s)),
       backlog=BACKLOG,
     )
 
 
+class _ServerConfig(uvicorn.Config):
+  """Takes the limit on idle connections from the configuration in force."""
+
+  def __init__(
+    self,
+    get_idle_limit: Callable[[], float],
+    application: object,
+    **options: Any,
+  ) -> None:
+    self._get_idle_limit = get_idle_limit
+    super().__init__(application, **options)
+
+  @property
+  def timeout_keep_alive(self) -> float:
+    """Returns the limit in seconds, asked for at each new connection."""
+    return self._get_idle_limit()
+
+  @timeout_keep_alive.setter
+  def timeout_keep_alive(self, _: float) -> None:
+    """Ignores uvicorn's default."""
+
+
 class _Server(uvicorn.Server):
   """A uvicorn server that leaves signals to the program."""
 
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -183,7 +183,9 @@
     attempt.was_sent = True
     attempt.used = used
     outcome = used.start(
-      data, lambda raw: self._protocol.is_answer_to(request, raw)
+      data,
+      lambda raw: self._protocol.is_answer_to(request, raw),
+      has_body=request.method != b"HEAD",
     )
     # An attempt never waits longer than its upstream works on it.
     timer = asyncio.get_running_loop().call_later(
--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -58,6 +58,7 @@
     self._parser = httptools.HttpResponseParser(self)
     self._outcome: asyncio.Future[RawReply] | None = None
     self._is_own: Callable[[RawReply], bool] | None = None
+    self._has_body = True
     self._strays = 0
     self._headers: list[tuple[bytes, bytes]] = []
     self._body: list[bytes] = []
@@ -71,13 +72,17 @@
     return self._transport is None or self._transport.is_closing()
 
   def start(
-    self, data: bytes, is_own: Callable[[RawReply], bool]
+    self,
+    data: bytes,
+    is_own: Callable[[RawReply], bool],
+    has_body: bool = True,
   ) -> asyncio.Future[RawReply]:
     """Sends a request.
 
     Args:
       data: Head and body.
       is_own: Tells an answer to this request from a stray one.
+      has_body: False when the answer ends with its head, as after HEAD.
 
     Returns:
       A future of the answer. It fails with ``ConnectionLostError`` or
@@ -90,6 +95,7 @@
       return outcome
     self._outcome = outcome
     self._is_own = is_own
+    self._has_body = has_body
     self._transport.write(data)
     return outcome
 
@@ -146,6 +152,10 @@
   def on_headers_complete(self) -> None:
     """Takes note of the end of the head."""
     self._head_read = self._parser.get_status_code() >= 200
+    if self._head_read and not self._has_body:
+      # The parser would wait for the body that the length announces.
+      self.reusable = False
+      self._finish_message()
 
   def on_body(self, data: bytes) -> None:
     """Adds a piece of the body."""
@@ -169,6 +179,8 @@
       tuple(self._headers),
       b"".join(self._body),
     )
+    if self._outcome is None:
+      return
     if not self._is_own(reply):
       self._skip_stray()
       return
