Do not count a request that this node abandoned as its upstream's failure

Found on reading: a caller that left made the node close the connection after 250 ms, and the close was taken for a failure; four of them put a sound upstream out for a while. test_sending failed first (5 failures for 0). Also: a restarted node asks all others at once while the store is away, and the second hedge of a route with three attempts waits as long as the first.

--- a/packages/gateway/src/bronzefold/gateway/fleet.py
+++ b/packages/gateway/src/bronzefold/gateway/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 import anyio
@@ -58,7 +59,7 @@
       self._count_nodes(now)
       self._send_heartbeats(now)
       if not self._copy.revision:
-        self._ask_all(now)
+        self._ask(self._network.list_connected(), now)
       await anyio.sleep(HEARTBEAT_S)
 
   def leave(self, now: Seconds) -> None:
@@ -93,18 +94,16 @@
     age_s = self._members.get_own_platform_age(now)
     is_stale = age_s is None or age_s > following.FRESH_S
     if is_stale and heartbeat.config_revision > self._copy.revision:
-      self._ask(sender, now)
+      self._ask([sender], now)
 
-  def _ask_all(self, now: Seconds) -> None:
-    for node in self._network.list_connected():
-      self._ask(node, now)
-
-  def _ask(self, node: str, now: Seconds) -> None:
+  def _ask(self, nodes: Iterable[str], now: Seconds) -> None:
+    """Asks nodes for what this one lacks, not more often than a pause."""
     if now - self._asked_at < SYNC_PAUSE_S:
       return
     self._asked_at = now
     request = messages.SyncRequest(self._copy.revision, reports=False)
-    self._network.send(node, request)
+    for node in nodes:
+      self._network.send(node, request)
 
   def _count_nodes(self, now: Seconds) -> None:
     """Counts nodes that were known lately: they may still use their shares."""
--- a/packages/gateway/src/bronzefold/gateway/queries.py
+++ b/packages/gateway/src/bronzefold/gateway/queries.py
@@ -28,6 +28,7 @@
 FIRST_HEDGE_SHARE = 0.3  # until a quantile is known
 MAX_REFUSALS = 3  # an upstream's siblings are one to three
 BUSY_RETRY_S = 0.005  # a quarter of a usual reply
+ABSENT_RETRY_S = 0.05  # a fifth of the shortest time an upstream is down
 BUDGET_RETRY_S = 0.02  # the budget's slices are 0.5 s
 HEDGE_BUDGET_SHARE = 0.85  # 0.6 left 79 of 110 late shards without a hedge
 HOPEFUL_SHARE = 0.5  # 1.0 withheld hedges that would have helped
@@ -211,10 +212,10 @@
 
   def _hedge(self, shard: Shard, answer_at: Seconds, now: Seconds) -> None:
     """Sends beside a pending attempt if that can still help in time."""
-    shard.next_at = now + BUSY_RETRY_S
     usable, chosen = self._choose(shard, now)
     if chosen is None:
       self.withheld["hedge: busy" if usable else "hedge: no upstream"] += 1
+      shard.next_at = now + (BUSY_RETRY_S if usable else ABSENT_RETRY_S)
       return
     usual_s = selection.get_usual_latency(usable)
     expected_s = chosen.health.expect_latency(usual_s, now)
@@ -226,6 +227,7 @@
     if budget.try_spend(now, HEDGE_BUDGET_SHARE):
       self._send(shard, chosen, now)
       self.hedges += 1
+      shard.next_at = now + self._hedge_after_s
     else:
       self.withheld["hedge: budget"] += 1
       shard.next_at = now + BUDGET_RETRY_S
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -207,8 +207,11 @@
     seen = attempt.upstream.health
     error = done.exception()
     if error is not None:
+      # Closed by this node and within the usual time: it tells nothing.
+      is_failure = not attempt.is_abandoned or seen.is_stalled(now)
       self._end(attempt, Ending.UNKNOWN, error=error)
-      seen.record_failure(now)
+      if is_failure:
+        seen.record_failure(now)
       return
     reply = self._protocol.decode_reply(done.result())
     if reply.not_run:
--- /dev/null
+++ b/tests/test_sending.py
@@ -0,0 +1,79 @@
+"""One request to one upstream, and what its end says of the upstream."""
+
+import asyncio
+import unittest
+
+import anyio
+
+from bronzefold.core import clock
+from bronzefold.gateway import inventory
+from bronzefold.gateway import model
+from bronzefold.gateway import sending
+from bronzefold.platform import upstreams
+from bronzefold.upstreams import channel
+
+
+def make_request(now):
+  """Returns a caller's request."""
+  return model.Request(
+    id=b"r",
+    method=b"GET",
+    host="shop.example",
+    path="/x/",
+    target=b"/x/",
+    headers=(),
+    head_bytes=100,
+    body=b"",
+    received_at=now,
+    budget_s=5.0,
+  )
+
+
+class AbandonTest(unittest.IsolatedAsyncioTestCase):
+  """Callers that leave while an upstream works."""
+
+  async def asyncSetUp(self):
+    async def listen(reader, writer):
+      await reader.read()
+      writer.close()
+
+    server = await asyncio.start_server(listen, "127.0.0.1", 0)
+    self.addAsyncCleanup(server.wait_closed)
+    self.addCleanup(server.close)
+    port = server.sockets[0].getsockname()[1]
+    address = f"127.0.0.1:{port}"
+    instance = model.Instance("i", "s", address, "a")
+    pool = channel.ChannelPool(address, 3)
+    self.upstream = inventory.Upstream(instance, pool)
+
+  async def abandon(self):
+    """Sends a request and abandons it; returns the attempt once it ended."""
+    ended = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+      sender = sending.Sender(upstreams.UpstreamProtocol(), tasks)
+      now = clock.read_monotonic()
+      attempt = sender.start(
+        make_request(now), self.upstream, 5.0, now, lambda _: ended.set()
+      )
+      await anyio.sleep(0.05)
+      sender.abandon(attempt)
+      with anyio.fail_after(1.0):
+        await ended.wait()
+    return attempt
+
+  async def test_is_no_failure_of_an_upstream_that_is_in_time(self):
+    self.upstream.health.record_reply(2.0, clock.read_monotonic())
+    for _ in range(5):
+      attempt = await self.abandon()
+      self.assertIs(attempt.ending, sending.Ending.UNKNOWN)
+    self.assertEqual(self.upstream.health.failures, 0)
+
+  async def test_is_a_failure_of_an_upstream_that_is_silent(self):
+    for _ in range(30):
+      self.upstream.health.record_reply(0.01, clock.read_monotonic())
+    await self.abandon()
+    self.assertEqual(self.upstream.health.failures, 1)
+
+
+if __name__ == "__main__":
+  unittest.main()
