--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,7 +8,9 @@
 
 from collections.abc import Iterable
 from concurrent import futures
+import itertools
 import json
+import os
 import pathlib
 import subprocess
 import sys
@@ -65,11 +67,12 @@
   print(_RESULT_PREFIX + json.dumps(counts))
 
 
-def _start_module(module: str) -> ModuleResult:
+def _start_module(slot: int, module: str) -> ModuleResult:
   started = time.monotonic()
   done = subprocess.run(
     [sys.executable, "-m", "tests", module],
     cwd=fleet.ROOT,
+    env={**os.environ, fleet.PORT_SLOT_VARIABLE: str(slot)},
     stdout=subprocess.PIPE,
     stderr=subprocess.STDOUT,
     text=True,
@@ -102,7 +105,7 @@
     0 when only known tests have failed.
   """
   with futures.ThreadPoolExecutor(PARALLEL_MODULES) as executor:
-    results = list(executor.map(_start_module, modules))
+    results = list(executor.map(_start_module, itertools.count(), modules))
   failed = {name for result in results for name in result.failed}
   known = read_known()
   for result in results:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -17,6 +18,13 @@
 import httpcore
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+PORT_SLOT_VARIABLE = "BRONZEFOLD_TEST_SLOT"
+
+_FIRST_PORT = 10_000
+_PORTS_PER_SLOT = 400
+_FREE_SLOT = "50"
+_port_numbers = itertools.count()
+
 ROUTES = {
   "range": {"kind": "search", "merge": "ascending"},
   "top": {"kind": "search", "merge": "descending"},
@@ -27,12 +35,32 @@
 
 
 def find_ports(count: int) -> list[int]:
-  """Finds free ports of 127.0.0.1."""
-  with contextlib.ExitStack() as stack:
-    sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-    for opened in sockets:
-      opened.bind(("127.0.0.1", 0))
-    return [opened.getsockname()[1] for opened in sockets]
+  """Finds free ports of 127.0.0.1.
+
+  Each process that runs tests has a range of its own, below the ports that the
+  kernel gives to outgoing connections, so that nobody takes a port between its
+  choice here and its use.
+  """
+  slot = int(os.environ.get(PORT_SLOT_VARIABLE, _FREE_SLOT))
+  first = _FIRST_PORT + slot * _PORTS_PER_SLOT
+  found: list[int] = []
+  for _ in range(_PORTS_PER_SLOT):
+    port = first + next(_port_numbers) % _PORTS_PER_SLOT
+    if _is_free(port):
+      found.append(port)
+    if len(found) == count:
+      return found
+  raise AssertionError(f"no {count} free ports from {first}")
+
+
+def _is_free(port: int) -> bool:
+  with socket.socket() as opened:
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+      opened.bind(("127.0.0.1", port))
+    except OSError:
+      return False
+  return True
 
 
 def call(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -318,6 +318,7 @@
   def test_weights_of_a_split(self):
     route = sites.make_route(
       "split",
+      type="non_idempotent",
       trafficSplit=[
         {"service": "shop", "weight": 3},
         {"service": "other", "weight": 1},
