Make the test of a reused address fail without its mechanism

It passed without it, since the quick sibling was preferred anyway; with a slower sibling it fails (9 arrivals at the other service for at most 1) and passes with it. test_cold_shards_are_waited_for and test_every_window were run without their mechanisms too and fail.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -197,6 +197,8 @@
     """A registration that outlived its upstream leads to another service."""
     gone, sibling = self.get_leafs("shop")
     other = self.get_leafs("other")[0]
+    # Slower than what is expected of an upstream that never answered.
+    sibling.delay_s = 0.05
     self.site.beat(gone, address=f"127.0.0.1:{other.port}", sequence=2)
     gateways.wait_until(
       lambda: len(self.node.read_events("instance_changed")) > 24, "the change"
