Make the slow version of test_rollouts slow again

Cause: an exchange of the stand-in takes 0.25 ms of work since exchanges ask for one shard of 16 each (all 16 slots of both versions count). Thirty times that is 8 ms, inside what an exchange costs anyway (median 6 ms, p95 13 ms), so there was no slow version to find: 1,300 exchanges of it a node took 10 ms at the median and 30 ms at most. That is a fault of the check, not of the product.

Ruled out: lost observations (hedged losers were observed, 80 to 100 ms each), the merge of evidence between nodes, cold upstreams, which count without time.

The leafs of these tests now need 2 ms for one shard. Factor (30) and bounds (8 s, 6 s) stay.

--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -81,6 +81,11 @@
     self.assertAlmostEqual(found, tail / ways)
 
 
+# An exchange asks for one of 8 shards here, so it takes 2 ms of work. With the
+# usual 0.25 ms, 30 times as much hid in the 6 ms that an exchange costs anyway.
+SERVICE_S = 0.016
+
+
 def make_version_leaves() -> list[dict]:
   """Makes two replicas of each of two versions."""
   return [
@@ -89,6 +94,7 @@
       "zone": "ab"[replica],
       "version": version,
       "slots": 4,
+      "service_s": SERVICE_S,
       "shards": list(range(16)),
     }
     for version in ("v1", "v2")
