Answer callers who were connected but not yet taken when a node stops

Cause: uvicorn closes the listening socket while connections that the system has already made still wait in its queue; the system resets them. test_servers makes this happen each time: 20 connections are made without a turn of the loop, then the server shuts down.

Now the waiting connections are taken first, the socket stops listening in the same turn, and they have 0.2 s for their request. Both programs use the one server class; the node waits for the server's end instead of a fixed 0.05 s.

Ruled out: the closing of idle kept connections (the callers of the test send at once on each new one).

--- a/packages/callers/src/bronzefold/callers/server.py
+++ b/packages/callers/src/bronzefold/callers/server.py
@@ -2,27 +2,44 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-import contextlib
+import socket
 
+import anyio
 import uvicorn
 
+from bronzefold.core import servers
+
 _KEEP_ALIVE_S = 30
 _BACKLOG = 512
 _MAX_HEADER_BYTES = 16 * 1024
 
 
-class CallerServer(uvicorn.Server):
-  """A uvicorn server that leaves signals to the node."""
+class CallerServer(servers.GracefulServer):
+  """A server with a listening socket of its own.
+
+  Attributes:
+    ended: Set once it has stopped.
+  """
+
+  def __init__(self, config: uvicorn.Config, address: str) -> None:
+    """Creates a server.
 
-  @contextlib.contextmanager
-  def capture_signals(self) -> Iterator[None]:
-    """Captures no signals."""
-    yield
+    Args:
+      config: Its configuration.
+      address: IP:port to listen on.
+    """
+    super().__init__(config)
+    self.ended = anyio.Event()
+    self._address = address
 
-  def finish(self) -> None:
-    """Stops accepting; requests in progress are answered first."""
-    self.should_exit = True
+  async def run_here(self) -> None:
+    """Listens and serves until the server is finished."""
+    host, _, port = self._address.partition(":")
+    listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+    try:
+      await self.serve(sockets=[listener])
+    finally:
+      self.ended.set()
 
 
 def make_server(application: object, address: str) -> CallerServer:
@@ -33,13 +50,10 @@
     address: IP:port to listen on.
 
   Returns:
-    The server; its ``serve`` runs it.
+    The server; its ``run_here`` runs it.
   """
-  host, _, port = address.partition(":")
   config = uvicorn.Config(
     application,
-    host=host,
-    port=int(port),
     log_config=None,
     access_log=False,
     http="httptools",
@@ -49,4 +63,4 @@
     h11_max_incomplete_event_size=_MAX_HEADER_BYTES,
     server_header=False,
   )
-  return CallerServer(config)
+  return CallerServer(config, address)
--- /dev/null
+++ b/packages/core/src/bronzefold/core/servers.py
@@ -0,0 +1,77 @@
+"""An HTTP server that answers whoever was connected when it stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import socket
+
+import uvicorn
+
+_FIRST_REQUEST_S = 0.2  # a caller sends right after its connection is made
+
+
+class GracefulServer(uvicorn.Server):
+  """A uvicorn server that leaves signals to the program.
+
+  When it stops, connections that the system has made and the server has not
+  yet taken are taken and answered; uvicorn resets them.
+  """
+
+  def capture_signals(self) -> contextlib.AbstractContextManager[None]:
+    """Captures no signals."""
+    return contextlib.nullcontext()
+
+  def finish(self) -> None:
+    """Stops accepting; requests in progress are answered first."""
+    self.should_exit = True
+
+  async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+    """Stops the server.
+
+    Args:
+      sockets: The listening sockets that ``serve`` was given.
+    """
+    taken = [
+      connection
+      for listener in sockets or ()
+      for connection in _take_waiting(listener)
+    ]
+    for server in self.servers:
+      server.close()
+    loop = asyncio.get_running_loop()
+    for connection in taken:
+      await loop.connect_accepted_socket(self._make_protocol, connection)
+    if taken:
+      await asyncio.sleep(_FIRST_REQUEST_S)
+    await super().shutdown(sockets)
+
+  def _make_protocol(self) -> asyncio.Protocol:
+    return self.config.http_protocol_class(
+      config=self.config,
+      server_state=self.server_state,
+      app_state=self.lifespan.state,
+    )
+
+
+def _take_waiting(listener: socket.socket) -> list[socket.socket]:
+  """Takes all connections that wait, and stops listening at once."""
+  taken = []
+  listener.setblocking(False)
+  while True:
+    try:
+      connection, _ = listener.accept()
+    except BlockingIOError:
+      break
+    except OSError as error:
+      # A connection that its caller has reset meanwhile; others may follow.
+      if error.errno != errno.ECONNABORTED:
+        raise
+      continue
+    connection.setblocking(False)
+    taken.append(connection)
+  # Closing comes a turn of the loop later, in which more would be reset.
+  with contextlib.suppress(OSError):  # not every system knows it here
+    listener.shutdown(socket.SHUT_RDWR)
+  return taken
--- a/packages/node/src/bronzefold/node/node.py
+++ b/packages/node/src/bronzefold/node/node.py
@@ -48,6 +48,7 @@
 _OWNERSHIP_PERIOD_S = 0.1
 _CLAIM_CLEANUP_PERIOD_S = 5.0
 _STOP_POLL_S = 0.05
+_SERVER_END_S = 2.0  # it ends 0.4 s after it was told to when nothing runs
 
 _logger = logging.getLogger(__name__)
 
@@ -181,12 +182,13 @@
       async with anyio.create_task_group() as tasks:
         self._tasks = tasks
         self._start_background(tasks)
-        tasks.start_soon(server.serve)
+        tasks.start_soon(server.run_here)
         await self._stopping.wait()
         await self._leave(tasks)
         server.finish()
         await self._drain()
-        await anyio.sleep(_STOP_POLL_S)
+        with anyio.move_on_after(_SERVER_END_S):
+          await server.ended.wait()
         await self._session.leave()
         tasks.cancel_scope.cancel()
     finally:
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,58 @@
+"""The end of an HTTP server."""
+
+import asyncio
+import socket
+import unittest
+
+import uvicorn
+
+from bronzefold.core import servers
+
+
+async def answer(scope, receive, send):
+  """Answers every request alike."""
+  del scope
+  await receive()
+  headers = [(b"content-length", b"2"), (b"connection", b"close")]
+  await send({"type": "http.response.start", "status": 200, "headers": headers})
+  await send({"type": "http.response.body", "body": b"ok"})
+
+
+class ShutdownTest(unittest.IsolatedAsyncioTestCase):
+  """A server in this process."""
+
+  async def asyncSetUp(self):
+    self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+    config = uvicorn.Config(
+      answer, log_config=None, http="httptools", lifespan="off", ws="none"
+    )
+    self.server = servers.GracefulServer(config)
+    task = asyncio.create_task(self.server.serve(sockets=[self.listener]))
+    while not self.server.started:
+      await asyncio.sleep(0.01)
+    self.task = task
+
+  def connect(self) -> socket.socket:
+    """Connects and sends without a turn of the loop, so nobody accepts."""
+    made = socket.create_connection(self.listener.getsockname(), timeout=3.0)
+    made.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    return made
+
+  async def test_connections_that_wait_are_answered(self):
+    address = self.listener.getsockname()
+    waiting = [self.connect() for _ in range(20)]
+    await self.server.shutdown([self.listener])
+    for made in waiting:
+      self.assertIn(b"200 OK", await asyncio.to_thread(made.recv, 1000))
+      made.close()
+    with self.assertRaises(ConnectionRefusedError):
+      socket.create_connection(address, timeout=1.0)
+    self.task.cancel()
+
+  async def test_stops_without_anyone_waiting(self):
+    self.server.finish()
+    await asyncio.wait_for(self.task, 2.0)
+
+
+if __name__ == "__main__":
+  unittest.main()
