--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -161,6 +161,24 @@
   logging.WARNING,
   "The store has forgotten changes; everything is read again.",
 )
+VERSION_MOVED = _register(
+  706,
+  "version_moved",
+  logging.INFO,
+  "A service's move to another version has another state or share.",
+)
+VERSION_SUSPECTED = _register(
+  707,
+  "version_suspected",
+  logging.WARNING,
+  "A version is worse than the others; this node sends it nothing more.",
+)
+RECORD_NOT_WRITTEN = _register(
+  708,
+  "record_not_written",
+  logging.WARNING,
+  "The state of a move was not written; another node may have done so.",
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- a/packages/gateway/src/bronzefold/gateway/changes.py
+++ b/packages/gateway/src/bronzefold/gateway/changes.py
@@ -13,6 +13,7 @@
 from bronzefold.core import events
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import model
+from bronzefold.gateway import rollouts
 
 if TYPE_CHECKING:
   from bronzefold.gateway import gateway as gateways
@@ -49,6 +50,27 @@
   is_out: bool
 
 
+@attrs.frozen
+class OrderSet:
+  """The operators order a service's move to another version."""
+
+  order: rollouts.Order
+
+
+@attrs.frozen
+class OrderRemoved:
+  """The operators have withdrawn such an order."""
+
+  service: str
+
+
+@attrs.frozen
+class RecordSet:
+  """A node has written how far a move has come."""
+
+  record: rollouts.Record
+
+
 @attrs.frozen
 class EntryRefused:
   """An entry that cannot be used.
@@ -65,11 +87,18 @@
 
 
 Change = (
-  ConfigurationSet | InstanceSet | InstanceRemoved | ZoneSet | EntryRefused
+  ConfigurationSet
+  | InstanceSet
+  | InstanceRemoved
+  | ZoneSet
+  | OrderSet
+  | OrderRemoved
+  | RecordSet
+  | EntryRefused
 )
 
 _T = TypeVar("_T")
-_Applier = Callable[["gateways.Gateway", Any, Seconds], None]
+_Applier = Callable[["gateways.Gateway", Any, Seconds], bool]
 _appliers: dict[type, _Applier] = {}
 
 
@@ -83,30 +112,34 @@
 
 def apply_change(
   gateway: gateways.Gateway, change: Change, now: Seconds
-) -> None:
+) -> bool:
   """Applies a change to a gateway.
 
   Args:
     gateway: The gateway.
     change: The change.
     now: Monotonic time.
+
+  Returns:
+    True when it changed what the gateway believes.
   """
-  _appliers[type(change)](gateway, change, now)
+  return _appliers[type(change)](gateway, change, now)
 
 
 @_register(ConfigurationSet)
 def _set_configuration(
   gateway: gateways.Gateway, change: ConfigurationSet, now: Seconds
-) -> None:
-  gateway.set_configuration(change.configuration, now)
+) -> bool:
+  return gateway.set_configuration(change.configuration, now)
 
 
 @_register(InstanceSet)
 def _set_instance(
   gateway: gateways.Gateway, change: InstanceSet, now: Seconds
-) -> None:
+) -> bool:
   instance = change.instance
-  if gateway.upstreams.apply(instance, now):
+  is_news = gateway.upstreams.apply(instance, now)
+  if is_news:
     events.INSTANCE_CHANGED.log(
       _logger,
       instance=instance.id,
@@ -115,33 +148,83 @@
       state="draining" if instance.draining else "ready",
       cold_ms=max(0, round((instance.cold_until - now) * 1e3)),
     )
+  return is_news
 
 
 @_register(InstanceRemoved)
 def _remove_instance(
   gateway: gateways.Gateway, change: InstanceRemoved, now: Seconds
-) -> None:
-  if gateway.upstreams.remove(change.id, now):
+) -> bool:
+  is_news = gateway.upstreams.remove(change.id, now)
+  if is_news:
     events.INSTANCE_CHANGED.log(_logger, instance=change.id, state="removed")
+  return is_news
 
 
 @_register(ZoneSet)
-def _set_zone(gateway: gateways.Gateway, change: ZoneSet, now: Seconds) -> None:
+def _set_zone(gateway: gateways.Gateway, change: ZoneSet, now: Seconds) -> bool:
   del now
   evacuated = gateway.upstreams.evacuated
   if change.is_out == (change.zone in evacuated):
-    return
+    return False
   if change.is_out:
     evacuated.add(change.zone)
   else:
     evacuated.discard(change.zone)
   events.ZONE_CHANGED.log(_logger, zone=change.zone, is_out=change.is_out)
+  return True
+
+
+@_register(OrderSet)
+def _set_order(
+  gateway: gateways.Gateway, change: OrderSet, now: Seconds
+) -> bool:
+  order = change.order
+  is_news = gateway.rollouts.set_order(order, now)
+  if is_news:
+    events.VERSION_MOVED.log(
+      _logger,
+      service=order.service,
+      version=order.version,
+      state="ordered",
+      duration_s=order.duration_s,
+    )
+  return is_news
+
+
+@_register(OrderRemoved)
+def _remove_order(
+  gateway: gateways.Gateway, change: OrderRemoved, now: Seconds
+) -> bool:
+  del now
+  is_news = gateway.rollouts.cancel_order(change.service)
+  if is_news:
+    events.VERSION_MOVED.log(_logger, service=change.service, state="withdrawn")
+  return is_news
+
+
+@_register(RecordSet)
+def _set_record(
+  gateway: gateways.Gateway, change: RecordSet, now: Seconds
+) -> bool:
+  del now
+  record = change.record
+  is_news = gateway.rollouts.set_record(record)
+  if is_news:
+    events.VERSION_MOVED.log(
+      _logger,
+      service=record.service,
+      version=record.version,
+      state=record.state.value,
+    )
+  return is_news
 
 
 @_register(EntryRefused)
 def _refuse_entry(
   gateway: gateways.Gateway, change: EntryRefused, now: Seconds
-) -> None:
+) -> bool:
   events.ENTRY_REFUSED.log(_logger, key=change.key, reason=change.reason)
-  if change.instance_id:
-    gateway.upstreams.remove(change.instance_id, now)
+  if not change.instance_id:
+    return False
+  return gateway.upstreams.remove(change.instance_id, now)
--- a/packages/gateway/src/bronzefold/gateway/fleet.py
+++ b/packages/gateway/src/bronzefold/gateway/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 from typing import Any
 
@@ -9,22 +10,31 @@
 
 from bronzefold import peers
 from bronzefold.core import clock
+from bronzefold.core import evidence
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import following
 from bronzefold.gateway import gateway as gateways
 from bronzefold.gateway import replica
+from bronzefold.gateway import rollouts
+from bronzefold.gateway import topology
 from bronzefold.peers import membership
 from bronzefold.peers import messages
 
 HEARTBEAT_S = 0.5  # 0.4 s cost 0.003 of the worth more in bytes between zones
 ALIVE_S = 1.3  # two heartbeats and a slow one
-SYNC_PAUSE_S = 1.0  # as often as the store would be asked
+FED_S = (
+  2.4  # 0.8 s between watches, two heartbeats, and 0.5 s to spare; 1.9 s lapsed
+)
+ASK_PAUSE_S = 0.4  # an answer takes some ms; a lost one is asked for again
 COUNTED_S = 15.0  # the users' window of 10 s and their stop limit of 6 s
 MAX_ADDRESSES = 64  # the users' limit
+SEND_CORE_S = 0.0003  # processor time of a send, docs/CAPACITY.md
+
+_DEMAND_GAIN = 0.2  # forgets half in 1.5 s
 
 
 class Fleet:
-  """Knows which nodes run, and passes changes on to those cut off."""
+  """Knows which nodes run, and passes changes on to those that need them."""
 
   def __init__(
     self,
@@ -40,7 +50,7 @@
       members: The nodes.
       network: Links to the nodes.
       copy: This node's copy of the store.
-      gateway: Is told how many nodes share its limits.
+      gateway: Is told which part of the limits is this node's.
       seeds: Peer addresses to try while no other node is known.
     """
     self._members = members
@@ -49,28 +59,51 @@
     self._gateway = gateway
     self._seeds = seeds
     self._asked_at = 0.0
-    self._last_known: dict[str, Seconds] = {}
+    self._last_known: dict[str, tuple[membership.Member, Seconds]] = {}
+    self._shares: collections.deque[tuple[Seconds, float]] = collections.deque()
+    self._counted_sends = 0
+    self._planned_for: tuple[tuple[str, str, float], ...] = ()
+    self._topology = topology.Topology(is_hub=True, neighbours=())
 
   async def run(self) -> None:
-    """Sends heartbeats until cancelled."""
+    """Sends heartbeats until cancelled, and at once to spokes on news."""
+    due_at = clock.read_monotonic()
     while True:
       now = clock.read_monotonic()
-      self._connect()
-      self._count_nodes(now)
-      self._send_heartbeats(now)
-      if not self._copy.revision:
-        self._ask(self._network.list_connected(), now)
-      await anyio.sleep(HEARTBEAT_S)
+      if now >= due_at:
+        self._beat(now)
+        due_at = now + HEARTBEAT_S
+      else:
+        self._send_heartbeats(self._topology.spokes, now)
+      news = self._copy.news
+      with anyio.move_on_after(max(0.0, due_at - now)):
+        await news.wait()
+
+  def is_fed(self, now: Seconds) -> bool:
+    """True while hubs tell this node what the store holds."""
+    age_s = self._members.get_told_platform_age(now)
+    return not self._topology.is_hub and age_s is not None and age_s < FED_S
+
+  def get_write_rank(self, now: Seconds) -> int | None:
+    """Returns how many hubs write before this node; None if it is no hub."""
+    if not self._topology.is_hub:
+      return None
+    own = self._members.own.node
+    return sum(
+      hub < own and self._members.is_alive(hub, now)
+      for hub in self._topology.hubs
+    )
 
   def leave(self, now: Seconds) -> None:
     """Tells all neighbours at once that this node leaves."""
     self._members.set_state(membership.LEAVING)
-    self._send_heartbeats(now)
+    self._send_heartbeats(self._topology.neighbours, now)
 
   def list_addresses(self, now: Seconds) -> list[str]:
     """Lists where callers should send requests, at most 64 addresses."""
     serving = self._members.list_serving(now)
-    return [member.caller_address for member in serving[:MAX_ADDRESSES]]
+    carriers = topology.choose_carriers(serving, _sum_demand(serving))
+    return [member.caller_address for member in carriers[:MAX_ADDRESSES]]
 
   async def handle(self, sender: str, message: Any) -> None:
     """Handles a message from another node."""
@@ -78,11 +111,31 @@
     if isinstance(message, messages.Heartbeat):
       self._take_heartbeat(sender, message, now)
     elif isinstance(message, messages.SyncRequest):
-      entries = self._copy.list_changes(message.after)
-      changes = messages.Changes(self._copy.revision, entries)
-      self._network.send(sender, changes)
+      self._network.send(sender, self._copy.make_changes(message.after))
     elif isinstance(message, messages.Changes):
-      self._copy.apply_changes(message.entries, message.revision, now)
+      self._copy.take_changes(message, now)
+    elif isinstance(message, messages.Samples):
+      self._take_samples(sender, message, now)
+
+  def _beat(self, now: Seconds) -> None:
+    self._plan()
+    self._connect()
+    self._measure_demand()
+    if self._copy.revision:
+      self._update_share(now)
+    self._send_heartbeats(self._topology.neighbours, now)
+    self._send_samples()
+    if not self._topology.neighbours:
+      self._greet_seeds(now)
+    if not self._copy.revision:
+      self._ask(self._network.list_connected(), now)
+
+  def _plan(self) -> None:
+    others = self._members.list_others()
+    known = tuple((m.node, m.zone, m.capacity) for m in others)
+    if known != self._planned_for:
+      self._planned_for = known
+      self._topology = topology.plan_topology(self._members.own, others)
 
   def _take_heartbeat(
     self, sender: str, heartbeat: messages.Heartbeat, now: Seconds
@@ -96,39 +149,103 @@
     if is_stale and heartbeat.config_revision > self._copy.revision:
       self._ask([sender], now)
 
+  def _take_samples(
+    self, sender: str, samples: messages.Samples, now: Seconds
+  ) -> None:
+    counts = evidence.Counts(samples.good, samples.failed, samples.slow)
+    observation = rollouts.Observation(
+      samples.service, samples.version, samples.route, counts
+    )
+    passes_on = self._topology.is_hub and sender not in self._topology.hubs
+    self._gateway.rollouts.add_observation(observation, passes_on, now)
+
+  def _send_samples(self) -> None:
+    """Tells what was observed of versions: a hub all hubs, others one hub."""
+    hubs = [
+      member.node
+      for member in self._topology.neighbours
+      if member.node in self._topology.hubs
+    ]
+    targets = hubs if self._topology.is_hub else hubs[:1]
+    for told in self._gateway.rollouts.take_unsent():
+      counts = told.counts
+      samples = messages.Samples(
+        told.service,
+        told.version,
+        told.route,
+        counts.good,
+        counts.failed,
+        counts.slow,
+      )
+      for node in targets:
+        self._network.send(node, samples)
+
   def _ask(self, nodes: Iterable[str], now: Seconds) -> None:
     """Asks nodes for what this one lacks, not more often than a pause."""
-    if now - self._asked_at < SYNC_PAUSE_S:
+    if now - self._asked_at < ASK_PAUSE_S:
       return
     self._asked_at = now
     request = messages.SyncRequest(self._copy.revision, reports=False)
     for node in nodes:
       self._network.send(node, request)
 
-  def _count_nodes(self, now: Seconds) -> None:
-    """Counts nodes that were known lately: they may still use their shares."""
+  def _measure_demand(self) -> None:
+    """Estimates the cores that this node's requests take."""
+    sent = self._gateway.sends - self._counted_sends
+    self._counted_sends = self._gateway.sends
+    present = sent * SEND_CORE_S / HEARTBEAT_S
+    known = self._members.own.demand
+    demand = known + _DEMAND_GAIN * (present - known)
+    self._members.set_demand(round(demand, 4))
+
+  def _update_share(self, now: Seconds) -> None:
+    """Takes the least share of the last seconds.
+
+    Others may have counted on the rest of the limits for as long. Nodes that
+    were known lately may still use their shares.
+    """
+    own = self._members.own
     self._last_known.update(
-      (member.node, now) for member in self._members.list_others()
+      (member.node, (member, now)) for member in self._members.list_others()
     )
-    count = sum(now - seen < COUNTED_S for seen in self._last_known.values())
-    if self._copy.revision:
-      self._gateway.set_node_count(count + 1)
+    lately = [
+      member
+      for member, seen_at in self._last_known.values()
+      if now - seen_at < COUNTED_S
+    ]
+    demand = _sum_demand(self._members.list_serving(now))
+    share = topology.compute_share(own, [own, *lately], demand)
+    self._shares.append((now, share))
+    while now - self._shares[0][0] >= COUNTED_S:
+      self._shares.popleft()
+    self._gateway.set_share(min(share for _, share in self._shares))
+
+  def _send_heartbeats(
+    self, targets: Iterable[membership.Member], now: Seconds
+  ) -> None:
+    for member in targets:
+      heartbeat = self._make_heartbeat(member.node, now)
+      self._network.send(member.node, heartbeat)
 
-  def _send_heartbeats(self, now: Seconds) -> None:
-    targets = [member.node for member in self._members.list_neighbours()]
-    for node in targets or self._network.list_connected():
+  def _greet_seeds(self, now: Seconds) -> None:
+    """Sends heartbeats to whoever there is while no other node is known."""
+    for node in self._network.list_connected():
       self._network.send(node, self._make_heartbeat(node, now))
 
   def _make_heartbeat(self, receiver: str, now: Seconds) -> messages.Heartbeat:
     age_s = self._members.get_own_platform_age(now)
     return self._members.make_heartbeat(
-      receiver, age_s, self._copy.revision, 0, now
+      receiver, age_s, self._copy.news_revision, 0, now
     )
 
   def _connect(self) -> None:
     addresses = {
-      member.node: member.peer_address for member in self._members.list_others()
+      member.node: member.peer_address for member in self._topology.neighbours
     }
     own = self._members.own.peer_address
     seeds = [seed for seed in self._seeds if seed != own]
     self._network.connect_all(addresses, seeds)
+
+
+def _sum_demand(members: Iterable[membership.Member]) -> float:
+  return sum(member.demand for member in members)
--- a/packages/gateway/src/bronzefold/gateway/following.py
+++ b/packages/gateway/src/bronzefold/gateway/following.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import logging
 import secrets
 
@@ -22,6 +23,7 @@
 LEASE_TTL_S = 4.0  # three renewals
 RENEWAL_S = 1.3
 FRESH_S = 2.0  # two pauses of a watch and their calls
+FED_CHECK_S = 0.4  # half a pause of a watch
 
 _logger = logging.getLogger(__name__)
 
@@ -34,6 +36,7 @@
     client: store.StoreClient,
     copy: replica.Replica,
     members: membership.Membership,
+    is_fed: Callable[[Seconds], bool],
   ) -> None:
     """Creates a follower; its ``run_`` methods are tasks.
 
@@ -41,10 +44,13 @@
       client: The store.
       copy: Where changes are applied.
       members: The nodes of the fleet, this one included.
+      is_fed: Returns, for a monotonic time, whether other nodes tell this one
+        what the store holds.
     """
     self._client = client
     self._copy = copy
     self._members = members
+    self._is_fed = is_fed
     self._lease: int | None = None
     self._key = self._make_key()
     self._is_registered = False
@@ -58,6 +64,10 @@
     into one call.
     """
     while True:
+      if self._copy.revision and self._is_fed(clock.read_monotonic()):
+        self._copy.expire(clock.read_monotonic())
+        await anyio.sleep(FED_CHECK_S)
+        continue
       try:
         if not self._copy.revision:
           await self._read_all()
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -17,6 +17,7 @@
 from bronzefold.gateway import merges
 from bronzefold.gateway import model
 from bronzefold.gateway import queries
+from bronzefold.gateway import rollouts
 from bronzefold.gateway import routing
 from bronzefold.gateway import selection
 from bronzefold.gateway import sending
@@ -45,7 +46,9 @@
   Attributes:
     configuration: The configuration in force; None before the first.
     upstreams: The upstreams.
-    node_count: Nodes among which limits are divided.
+    rollouts: Moves of services to other versions.
+    share: Part of each limit that this node may use.
+    sends: Count of all requests sent to upstreams.
     metrics: What it counts.
   """
 
@@ -64,7 +67,9 @@
     """
     self.configuration: model.Configuration | None = None
     self.upstreams = inventory.Inventory(self._share_connections)
-    self.node_count = own.assumed_nodes
+    self.rollouts = rollouts.Rollouts()
+    self.share = 1.0 / own.assumed_nodes
+    self.sends = 0
     self.metrics = metrics.Metrics()
     self._own = own
     self._started_at = clock.read_monotonic()
@@ -76,6 +81,7 @@
     self._means = queries.Means(
       sending.Sender(protocol, tasks),
       self.upstreams,
+      self.rollouts,
       own.zone,
       self._get_budget,
       self._latencies,
@@ -86,11 +92,11 @@
     limits = self.configuration.limits if self.configuration else None
     return (limits or model.CallerLimits()).idle_s
 
-  def set_node_count(self, count: int) -> None:
-    """Divides all limits among ``count`` nodes from now on."""
-    if count == self.node_count:
+  def set_share(self, share: float) -> None:
+    """Uses this part of each limit from now on."""
+    if share == self.share:
       return
-    self.node_count = count
+    self.share = share
     self.upstreams.update_limits()
     for budget in self._budgets.values():
       budget.slack = self._share_slack()
@@ -102,13 +108,17 @@
       budget.ratio = EXTRA_SHARE * own.retry_ratio
       budget.slack = self._share_slack()
 
-  def apply(self, change: changes.Change, now: Seconds) -> None:
-    """Applies a change that the store has acknowledged."""
-    changes.apply_change(self, change, now)
+  def apply(self, change: changes.Change, now: Seconds) -> bool:
+    """Applies a change that the store has acknowledged.
+
+    Returns:
+      True when it changed what this node believes.
+    """
+    return changes.apply_change(self, change, now)
 
   def set_configuration(
     self, configuration: model.Configuration, now: Seconds
-  ) -> None:
+  ) -> bool:
     """Puts a configuration in force unless it is older than the present one.
 
     One that names shards whose upstreams are not usable yet waits for them for
@@ -118,13 +128,17 @@
     Args:
       configuration: The configuration.
       now: Monotonic time at which it was learned.
+
+    Returns:
+      True when it was newer.
     """
     newest = self._held.configuration if self._held else self.configuration
     if newest is not None and configuration.version <= newest.version:
-      return
+      return False
     since = self._held.since if self._held else now
     self._held = _HeldConfiguration(configuration, since)
     self.adopt_held(now)
+    return True
 
   def adopt_held(self, now: Seconds) -> None:
     """Puts a held configuration in force once its upstreams are usable."""
@@ -202,7 +216,7 @@
     version = self.configuration.version if self.configuration else 0
     self.metrics.set_state("configuration_version", version)
     self.metrics.set_state("upstreams", self.upstreams.count())
-    self.metrics.set_state("nodes", self.node_count)
+    self.metrics.set_state("limit_share", self.share)
 
   def _record(
     self,
@@ -238,6 +252,7 @@
       share = len(query.parts) / len(query.shards)
       self.metrics.record_coverage(route.name, share)
     sends = sum(len(shard.attempts) for shard in query.shards)
+    self.sends += sends
     self.metrics.record_sends("first", sends - query.hedges - query.retries)
     self.metrics.record_sends("hedge", query.hedges)
     self.metrics.record_sends("retry", query.retries)
@@ -248,11 +263,10 @@
     known = self.configuration and self.configuration.services.get(service)
     if not known:
       return 1
-    share = CONNECTION_SHARE * known.max_connections / self.node_count
-    return max(1, int(share))
+    return max(1, int(CONNECTION_SHARE * known.max_connections * self.share))
 
   def _share_slack(self) -> float:
-    return SLACK_SHARE * self._own.retry_slack / self.node_count
+    return SLACK_SHARE * self._own.retry_slack * self.share
 
   def _get_budget(self, service: str) -> budgets.WindowBudget:
     budget = self._budgets.get(service)
@@ -267,10 +281,12 @@
 
 
 def _describe(shard: queries.Shard) -> list[str]:
-  return [shard.service] + [
-    f"{attempt.upstream.instance.id}:{attempt.ending.value}"
-    for attempt in shard.attempts
-  ]
+  return [shard.service, *map(_describe_attempt, shard.attempts)]
+
+
+def _describe_attempt(attempt: sending.Attempt) -> str:
+  told = f"{attempt.upstream.instance.id}:{attempt.ending.value}"
+  return f"{told}:{attempt.error.code}" if attempt.error else told
 
 
 def _refuse(outcome: str, retry_after_s: Seconds) -> model.Answer:
--- a/packages/gateway/src/bronzefold/gateway/model.py
+++ b/packages/gateway/src/bronzefold/gateway/model.py
@@ -173,8 +173,6 @@
     seal: Signature of the answer; empty if it has none.
     not_run: True when the upstream states that the request did not run.
     is_misdirected: True when another upstream has the address now.
-    instance: Id of the answering upstream, if it names itself.
-    load: Running and waiting requests that the upstream reports.
   """
 
   status: int
@@ -183,8 +181,6 @@
   seal: bytes = b""
   not_run: bool = False
   is_misdirected: bool = False
-  instance: str = ""
-  load: int | None = None
 
 
 @attrs.frozen
--- a/packages/gateway/src/bronzefold/gateway/program.py
+++ b/packages/gateway/src/bronzefold/gateway/program.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import contextlib
+import faulthandler
 import gc
 import logging
 import signal
@@ -21,6 +21,7 @@
 from bronzefold.core import events
 from bronzefold.core import exceptions
 from bronzefold.core import logs
+from bronzefold.core import servers
 from bronzefold.core import supervision
 from bronzefold.gateway import application
 from bronzefold.gateway import fleet
@@ -29,6 +30,7 @@
 from bronzefold.gateway import replica
 from bronzefold.gateway import sending
 from bronzefold.gateway import settings
+from bronzefold.gateway import steering
 from bronzefold.peers import membership
 
 STORE_TIMEOUT_S = 1.0  # 250 times a usual reply
@@ -51,6 +53,7 @@
   Attributes:
     load_settings: Reads the settings file.
     read_change: Reads an entry of the store.
+    encode_record: Writes the state of a move as an entry of the store.
     store_dialect: Writes and reads calls to the store.
     upstream_protocol: Wire format towards upstreams.
     caller_protocol: Wire format towards callers.
@@ -58,6 +61,7 @@
 
   load_settings: Callable[[], settings.GatewaySettings]
   read_change: replica.ReadChange
+  encode_record: steering.EncodeRecord
   store_dialect: store.Dialect
   upstream_protocol: sending.UpstreamProtocol
   caller_protocol: application.CallerProtocol
@@ -89,6 +93,7 @@
       state=membership.STARTING,
       caller_address=own.request_address,
       peer_address=own.peer_address,
+      capacity=own.capacity,
     )
     self._members = membership.Membership(
       member, following.FRESH_S, fleet.ALIVE_S
@@ -99,17 +104,22 @@
     client = store.StoreClient(
       [own.store_address], STORE_TIMEOUT_S, translation.store_dialect
     )
-    self._follower = following.StoreFollower(client, copy, self._members)
     self._network = peers.PeerNetwork(
       peers.FrameCodec(FLEET, "", own.node), own.peer_address, self._handle
     )
     self._fleet = fleet.Fleet(
       self._members, self._network, copy, self._gateway, own.seed_peers
     )
+    self._follower = following.StoreFollower(
+      client, copy, self._members, self._fleet.is_fed
+    )
+    self._writer = steering.RolloutWriter(
+      client, self._gateway.rollouts, self._fleet, translation.encode_record
+    )
     self._application = application.Application(
       own, self._gateway, self._fleet, translation.caller_protocol
     )
-    self._server = _Server(self._make_server_config())
+    self._server = servers.GracefulServer(self._make_server_config())
 
   async def run(self) -> None:
     """Serves until a signal stops the node."""
@@ -121,6 +131,7 @@
     self._tasks.start_soon(self._handle_signals)
     self._tasks.start_soon(supervision.supervise, self._follower.run_watch)
     self._tasks.start_soon(supervision.supervise, self._follower.run_lease)
+    self._tasks.start_soon(supervision.supervise, self._writer.run)
     self._tasks.start_soon(supervision.supervise, self._follow_settings)
     await self._server.serve(sockets=sockets)
     events.NODE_STOPPED.log(_logger, node=self._own.node)
@@ -164,7 +175,7 @@
     self._application.is_leaving = True
     self._tasks.start_soon(self._follower.leave)
     await anyio.sleep(LINGER_S)
-    self._server.should_exit = True
+    self._server.finish()
 
   def _make_server_config(self) -> _ServerConfig:
     rest_s = self._own.stop_limit_s - LINGER_S - STOP_MARGIN_S
@@ -206,14 +217,6 @@
     """Ignores uvicorn's default."""
 
 
-class _Server(uvicorn.Server):
-  """A uvicorn server that leaves signals to the program."""
-
-  def capture_signals(self) -> contextlib.AbstractContextManager[None]:
-    """Captures no signals."""
-    return contextlib.nullcontext()
-
-
 async def _run(translation: Translation, own: settings.GatewaySettings) -> None:
   gc.collect()
   gc.freeze()
@@ -232,6 +235,7 @@
   Returns:
     The exit code: 0 after a graceful stop, 2 for invalid settings.
   """
+  faulthandler.enable()  # a crash in an extension is told on standard error
   handler = logs.configure_logs()
   try:
     own = translation.load_settings()
--- a/packages/gateway/src/bronzefold/gateway/queries.py
+++ b/packages/gateway/src/bronzefold/gateway/queries.py
@@ -19,6 +19,7 @@
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
+from bronzefold.gateway import rollouts
 from bronzefold.gateway import selection
 from bronzefold.gateway import sending
 
@@ -43,7 +44,6 @@
     service: Name of the service.
     attempts: All attempts in order.
     part: The first whole success.
-    failure: The last attempt that ended otherwise.
     is_closed: True once no further attempt will be made.
     next_at: Monotonic time of the next try to send.
   """
@@ -51,7 +51,6 @@
   service: str
   attempts: list[sending.Attempt] = attrs.field(factory=list)
   part: model.Reply | None = None
-  failure: sending.Attempt | None = None
   is_closed: bool = False
   next_at: Seconds = math.inf
 
@@ -78,6 +77,7 @@
   Attributes:
     sender: Starts attempts.
     upstreams: The inventory.
+    rollouts: Moves of services to other versions.
     zone: Availability zone of this node.
     get_budget: Returns the budget of extra arrivals of a service.
     latencies: Quantiles of latency by route, for hedging.
@@ -85,6 +85,7 @@
 
   sender: sending.Sender
   upstreams: inventory.Inventory
+  rollouts: rollouts.Rollouts
   zone: str
   get_budget: Callable[[str], budgets.WindowBudget]
   latencies: dict[str, budgets.LatencyQuantile]
@@ -257,12 +258,11 @@
       if quantile is not None:
         quantile.record(now - attempt.started_at)
       return
-    shard.failure = attempt
-    if self._may_retry(shard, attempt):
+    if self._may_retry(shard):
       self._retry(shard, now)
     shard.is_closed = not shard.has_pending
 
-  def _may_retry(self, shard: Shard, attempt: sending.Attempt) -> bool:
+  def _may_retry(self, shard: Shard) -> bool:
     ran = sum(a.ending is not sending.Ending.NOT_RUN for a in shard.attempts)
     refused = len(shard.attempts) - ran
     if ran >= self._route.max_attempts or refused >= MAX_REFUSALS:
@@ -275,7 +275,12 @@
     """Returns the usable upstreams, and the one to send to if any is free."""
     candidates = self._means.upstreams.list_service(shard.service, now)
     tried = {attempt.upstream.instance.id for attempt in shard.attempts}
-    usable = selection.list_usable(candidates, tried, now)
+    usable = self._means.rollouts.narrow(
+      shard.service,
+      selection.list_usable(candidates, tried, now),
+      is_first=not tried,
+      now=now,
+    )
     chosen = selection.choose_upstream(usable, tried, self._means.zone, now)
     return usable, chosen
 
@@ -292,6 +297,8 @@
     shard.attempts.append(attempt)
 
   def _note_end(self, shard: Shard, attempt: sending.Attempt) -> None:
+    now = clock.read_monotonic()
+    self._means.rollouts.observe(attempt, self._route.name, now)
     self._ended.append((shard, attempt))
     self._wake.set()
 
--- a/packages/gateway/src/bronzefold/gateway/settings.py
+++ b/packages/gateway/src/bronzefold/gateway/settings.py
@@ -30,6 +30,7 @@
     addresses_keep_s: How long callers may keep an answer of the directory.
     is_first_start: True when the whole fleet starts for the first time.
     assumed_nodes: Nodes among which limits are divided until they are known.
+    capacity: Processor cores that the node may use.
   """
 
   node: str
@@ -48,3 +49,4 @@
   addresses_keep_s: Seconds = ADDRESSES_KEEP_S
   is_first_start: bool = False
   assumed_nodes: int = 8
+  capacity: float = 1.0
--- a/packages/node/src/bronzefold/node/gossip.py
+++ b/packages/node/src/bronzefold/node/gossip.py
@@ -10,6 +10,7 @@
 
 from bronzefold import peers
 from bronzefold.core import clock
+from bronzefold.core import evidence
 from bronzefold.core import settings
 from bronzefold.node import burn
 from bronzefold.node import configuration
@@ -208,7 +209,7 @@
       samples.service,
       samples.version,
       samples.route,
-      versions.Counts(samples.good, samples.failed, samples.slow),
+      evidence.Counts(samples.good, samples.failed, samples.slow),
       clock.read_monotonic(),
     )
 
--- a/packages/node/src/bronzefold/node/versions.py
+++ b/packages/node/src/bronzefold/node/versions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -11,13 +10,12 @@
 import xxhash
 
 from bronzefold.core import budgets
-from bronzefold.core import defaults
 from bronzefold.core import documents
+from bronzefold.core import evidence
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
 from bronzefold.node import configuration
 from bronzefold.node import selection
-from bronzefold.node import significance
 from bronzefold.node import status
 
 MOVING = "moving"
@@ -27,9 +25,6 @@
 _HASH_RANGE = float(1 << 64)
 _SLOW_FACTOR = 2.0
 _SLOW_QUANTILE = 0.95
-_MIN_FAILED_EXCESS = 0.01
-_MIN_SLOW_EXCESS = 0.10
-_MIN_HITS = 3
 
 
 @attrs.frozen
@@ -42,122 +37,6 @@
   by: float
 
 
-@attrs.define
-class Counts:
-  """Exchanges of a version on one route.
-
-  Attributes:
-    good: Exchanges that ended well in usual time.
-    failed: Exchanges that failed.
-    slow: Exchanges that ended well but took unusually long.
-  """
-
-  good: int = 0
-  failed: int = 0
-  slow: int = 0
-
-  @property
-  def total(self) -> int:
-    """Count of all exchanges."""
-    return self.good + self.failed + self.slow
-
-  def add(self, other: Counts) -> None:
-    """Adds the counts of another one."""
-    self.good += other.good
-    self.failed += other.failed
-    self.slow += other.slow
-
-
-class Evidence:
-  """Counts of the last seconds for each version and route of a service."""
-
-  def __init__(self, window_s: Seconds = defaults.ROLLOUT_WINDOW_S) -> None:
-    """Creates evidence without counts.
-
-    Args:
-      window_s: Age at which counts are dropped.
-    """
-    self._window_s = window_s
-    self._buckets: collections.deque[tuple[Seconds, dict]] = collections.deque()
-
-  def record(
-    self, version: str, route: str, counts: Counts, now: Seconds
-  ) -> None:
-    """Adds counts."""
-    bucket_s = self._window_s / 10
-    if not self._buckets or now - self._buckets[-1][0] >= bucket_s:
-      self._buckets.append((now, {}))
-    bucket = self._buckets[-1][1]
-    bucket.setdefault((version, route), Counts()).add(counts)
-
-  def sum_counts(self, version: str, route: str, now: Seconds) -> Counts:
-    """Adds up the counts of a version on a route."""
-    while self._buckets and now - self._buckets[0][0] > self._window_s:
-      self._buckets.popleft()
-    total = Counts()
-    for _, bucket in self._buckets:
-      counts = bucket.get((version, route))
-      if counts is not None:
-        total.add(counts)
-    return total
-
-  def find_fault(
-    self,
-    version: str,
-    stable: Iterable[str],
-    routes: Iterable[str],
-    now: Seconds,
-  ) -> str | None:
-    """Compares a version with the stable ones on each route.
-
-    Args:
-      version: The version that moves.
-      stable: Names of the versions to compare it with.
-      routes: Names of the routes.
-      now: The monotonic time.
-
-    Returns:
-      What is wrong with the version, None if nothing is.
-    """
-    stable_versions = tuple(stable)
-    for route in routes:
-      suspect = self.sum_counts(version, route, now)
-      base = Counts()
-      for name in stable_versions:
-        base.add(self.sum_counts(name, route, now))
-      fault = _compare(suspect, base)
-      if fault is not None:
-        return f"route {route}: {fault}"
-    return None
-
-
-def _compare(suspect: Counts, base: Counts) -> str | None:
-  failed = _is_excess(
-    suspect.failed, suspect.total, base.failed, base.total, _MIN_FAILED_EXCESS
-  )
-  if failed:
-    return f"{suspect.failed} of {suspect.total} exchanges failed"
-  slow = _is_excess(
-    suspect.slow, suspect.total, base.slow, base.total, _MIN_SLOW_EXCESS
-  )
-  if slow:
-    return f"{suspect.slow} of {suspect.total} exchanges were slow"
-  return None
-
-
-def _is_excess(
-  hits: int, total: int, base_hits: int, base_total: int, min_excess: float
-) -> bool:
-  if hits < _MIN_HITS or not base_total:
-    return False
-  if hits / total - base_hits / base_total < min_excess:
-    return False
-  probability = significance.compute_excess_probability(
-    hits, total, base_hits, base_total
-  )
-  return probability < defaults.ROLLOUT_SIGNIFICANCE
-
-
 class VersionTraffic:
   """Chooses a version for each request and watches the moving ones."""
 
@@ -175,9 +54,9 @@
     self._config = config
     self._on_suspicion = on_suspicion
     self._suspected: dict[Move, str] = {}
-    self._evidence: dict[str, Evidence] = {}
+    self._evidence: dict[str, evidence.Evidence] = {}
     self._usual: dict[tuple[str, str], budgets.LatencyQuantile] = {}
-    self._unsent: dict[tuple[str, str, str], Counts] = {}
+    self._unsent: dict[tuple[str, str, str], evidence.Counts] = {}
 
   def list_moves(self, document: documents.Document) -> list[Move]:
     """Lists the moves that a document asks for."""
@@ -304,29 +183,33 @@
     service = document.service
     stable = self.get_stable_versions(document)
     slow = self._is_slow(service, route, version in stable, error, took_s)
-    counts = Counts(
+    counts = evidence.Counts(
       good=int(error is None and not slow),
       failed=int(error is not None),
       slow=int(error is None and slow),
     )
     key = (service, version, route)
-    self._unsent.setdefault(key, Counts()).add(counts)
+    self._unsent.setdefault(key, evidence.Counts()).add(counts)
     self.record_counts(service, version, route, counts, now)
     if counts.good == 0 and version not in stable:
       self._test(document, version, now)
 
   def record_counts(
-    self, service: str, version: str, route: str, counts: Counts, now: Seconds
+    self,
+    service: str,
+    version: str,
+    route: str,
+    counts: evidence.Counts,
+    now: Seconds,
   ) -> None:
     """Adds counts to this node's evidence."""
-    evidence = self._evidence.setdefault(service, Evidence())
-    evidence.record(version, route, counts, now)
+    self.get_evidence(service).record(version, route, counts, now)
 
-  def get_evidence(self, service: str) -> Evidence:
+  def get_evidence(self, service: str) -> evidence.Evidence:
     """Returns the evidence about a service's versions."""
-    return self._evidence.setdefault(service, Evidence())
+    return self._evidence.setdefault(service, evidence.Evidence())
 
-  def take_unsent(self) -> dict[tuple[str, str, str], Counts]:
+  def take_unsent(self) -> dict[tuple[str, str, str], evidence.Counts]:
     """Returns the counts since the last call, by service, version, route."""
     unsent, self._unsent = self._unsent, {}
     return unsent
--- a/packages/peers/src/bronzefold/peers/membership.py
+++ b/packages/peers/src/bronzefold/peers/membership.py
@@ -15,7 +15,7 @@
 SERVING = "serving"
 LEAVING = "leaving"
 
-_FULL_MESH_NODES = 16
+FULL_MESH_NODES = 16
 
 
 class Contact(enum.Enum):
@@ -45,6 +45,8 @@
     state: "starting", "serving" or "leaving".
     caller_address: IP:port for callers.
     peer_address: IP:port for nodes.
+    capacity: Processor cores that it may use.
+    demand: Processor cores that its requests take; 0 until it was heard.
   """
 
   node: str
@@ -52,6 +54,8 @@
   state: str
   caller_address: str
   peer_address: str
+  capacity: float = 1.0
+  demand: float = 0.0
 
   @classmethod
   def from_heartbeat(cls, heartbeat: messages.Heartbeat) -> Self:
@@ -62,9 +66,28 @@
       state=heartbeat.state,
       caller_address=heartbeat.caller_address,
       peer_address=heartbeat.peer_address,
+      capacity=heartbeat.capacity,
+      demand=heartbeat.demand,
     )
 
 
+def choose_ring(own: Member, others: list[Member]) -> list[Member]:
+  """Chooses the neighbours of a node among its peers.
+
+  Few nodes are all neighbours. Of many, those at distances 1, 2, 4, ... to
+  both sides on a ring are, so that news reaches all nodes in a logarithmic
+  count of steps.
+  """
+  if len(others) < FULL_MESH_NODES:
+    return others
+  ring = sorted([*others, own], key=lambda member: member.node)
+  position = ring.index(own)
+  steps = [1 << bit for bit in range((len(ring) // 2).bit_length())]
+  distances = [*steps, *(-step for step in steps)]
+  near = {(position + distance) % len(ring) for distance in distances}
+  return [ring[index] for index in sorted(near - {position})]
+
+
 class Membership:
   """The nodes of the fleet, as far as this one knows.
 
@@ -93,13 +116,17 @@
     self._heard: dict[str, Member] = {}
     self._heard_at: dict[str, Seconds] = {}
     self._echoes: dict[str, Seconds] = {}
-    self._platform_at: Seconds | None = None
+    self._told_platform_at: Seconds | None = None
     self._own_platform_at: Seconds | None = None
 
   def set_state(self, state: str) -> None:
     """Changes the state of this node."""
     self.own = attrs.evolve(self.own, state=state)
 
+  def set_demand(self, demand: float) -> None:
+    """Changes how many cores this node's requests take."""
+    self.own = attrs.evolve(self.own, demand=demand)
+
   def register(self, member: Member) -> None:
     """Takes over a member's entry on the platform."""
     self._registered[member.node] = member
@@ -119,7 +146,6 @@
         waited for long in a buffer of a paused process.
     """
     self._own_platform_at = max(self._own_platform_at or asked_at, asked_at)
-    self._note_platform(asked_at)
 
   def record_heartbeat(
     self, heartbeat: messages.Heartbeat, config_revision: int
@@ -144,7 +170,9 @@
     if heartbeat.platform_age_s is None:
       return
     if heartbeat.config_revision <= config_revision:
-      self._note_platform(heartbeat.echo - heartbeat.platform_age_s)
+      asked_at = heartbeat.echo - heartbeat.platform_age_s
+      known_at = self._told_platform_at
+      self._told_platform_at = max(known_at or asked_at, asked_at)
 
   def get_own_platform_age(self, now: Seconds) -> Seconds | None:
     """Returns the time since this node itself reached the platform."""
@@ -152,6 +180,15 @@
       return None
     return now - self._own_platform_at
 
+  def get_told_platform_age(self, now: Seconds) -> Seconds | None:
+    """Returns the time since the platform of which other nodes have told all.
+
+    What happened there before, this node knows from them.
+    """
+    if self._told_platform_at is None:
+      return None
+    return now - self._told_platform_at
+
   def get_echo(self, node: str) -> Seconds | None:
     """Returns what a heartbeat to a node must echo."""
     return self._echoes.get(node)
@@ -184,16 +221,14 @@
       digest=digest,
       sent_at=now,
       echo=self.get_echo(receiver),
+      capacity=self.own.capacity,
+      demand=self.own.demand,
     )
 
   def get_platform_age(self, now: Seconds) -> Seconds | None:
     """Returns the time since any known node reached the platform."""
-    if self._platform_at is None:
-      return None
-    return now - self._platform_at
-
-  def _note_platform(self, asked_at: Seconds) -> None:
-    self._platform_at = max(self._platform_at or asked_at, asked_at)
+    ages = (self.get_own_platform_age(now), self.get_told_platform_age(now))
+    return min((age_s for age_s in ages if age_s is not None), default=None)
 
   def list_others(self) -> list[Member]:
     """Lists the other nodes, whether alive or not, by name."""
@@ -222,24 +257,14 @@
 
   def is_partial_mesh(self) -> bool:
     """True when news reaches some nodes only by way of others."""
-    return len(self.list_others()) >= _FULL_MESH_NODES
+    return len(self.list_others()) >= FULL_MESH_NODES
 
   def list_neighbours(self) -> list[Member]:
     """Lists the nodes that get this one's heartbeats and news.
 
-    A small fleet is a full mesh. In a large one each node has the neighbours
-    at distances 1, 2, 4, ... to both sides on a ring, so that news reaches all
-    nodes in a logarithmic count of steps.
+    A small fleet is a full mesh, a large one a ring with chords.
     """
-    others = self.list_others()
-    if not self.is_partial_mesh():
-      return others
-    ring = sorted([*others, self.own], key=lambda member: member.node)
-    position = ring.index(self.own)
-    steps = [1 << bit for bit in range((len(ring) // 2).bit_length())]
-    distances = [*steps, *(-step for step in steps)]
-    near = {(position + distance) % len(ring) for distance in distances}
-    return [ring[index] for index in sorted(near - {position})]
+    return choose_ring(self.own, self.list_others())
 
   def assess_contact(self, now: Seconds) -> Contact:
     """Assesses how current this node's knowledge can be.
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -84,6 +84,8 @@
     sent_at: The sender's monotonic time.
     echo: ``sent_at`` of the last heartbeat that the sender got from the
       receiver; None if it got none.
+    capacity: Processor cores that the node may use.
+    demand: Processor cores that its requests take.
   """
 
   node: str
@@ -96,6 +98,8 @@
   digest: int
   sent_at: float
   echo: float | None
+  capacity: float = 1.0
+  demand: float = 0.0
 
 
 @register_message("sync_request")
@@ -120,10 +124,12 @@
   Attributes:
     revision: Platform revision up to which they are complete.
     entries: The changed keys.
+    is_whole: True when keys that are missing do not exist any more.
   """
 
   revision: int
   entries: tuple[platform_messages.Entry, ...]
+  is_whole: bool = False
 
 
 @register_message("upstream")
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -306,6 +306,11 @@
       removed = {"key": key, "revision": self._revision, "tombstone": True}
       self._note(removed)
 
+  def get(self, key: str) -> bytes | None:
+    """Returns the value of a key."""
+    item = self._items.get(key)
+    return base64.b64decode(item["value"]) if item else None
+
   def list_keys(self, prefix: str) -> list[str]:
     """Lists the keys of a prefix."""
     return sorted(key for key in self._items if key.startswith(prefix))
@@ -455,6 +460,10 @@
     """Writes a key of the store."""
     return self.call(self._run(self.store.put, key, value))
 
+  def get(self, key: str) -> bytes | None:
+    """Returns the value of a key of the store."""
+    return self.call(self._run(self.store.get, key))
+
   def remove(self, key: str) -> None:
     """Removes a key of the store."""
     self.call(self._run(self.store.remove, key))
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,117 @@
+"""What a node tells others of its copy of the store."""
+
+import unittest
+
+from bronzefold import store
+from bronzefold.gateway import changes
+from bronzefold.gateway import gateway as gateways
+from bronzefold.gateway import model
+from bronzefold.gateway import replica
+from bronzefold.gateway import settings
+from bronzefold.peers import membership
+from bronzefold.platform import upstreams
+
+OWN = settings.GatewaySettings(
+  node="n0",
+  zone="a",
+  request_address="h:1",
+  readiness_address="h:2",
+  directory_address="h:3",
+  metrics_address="h:4",
+  peer_address="h:5",
+  store_address="h:6",
+)
+
+
+def read_change(entry: store.Entry, now: float) -> changes.Change:
+  """Reads values like "i1@h:9": an id and an address."""
+  del now
+  name = entry.key.removeprefix("up/")
+  if entry.value is None:
+    return changes.InstanceRemoved(name)
+  return changes.InstanceSet(model.Instance(name, "s", entry.value, "a"))
+
+
+def make_replica() -> replica.Replica:
+  """Makes an empty copy."""
+  gateway = gateways.Gateway(OWN, upstreams.UpstreamProtocol(), None)
+  member = membership.Member("n0", "a", "serving", "h:1", "h:5")
+  members = membership.Membership(member, 2.0)
+  return replica.Replica(gateway, members, read_change)
+
+
+def make_listing(revision: int, **values: str) -> store.Listing:
+  """Makes a listing of upstreams, all written at its revision."""
+  entries = (
+    store.Entry(f"up/{name}", value, revision) for name, value in values.items()
+  )
+  return store.Listing(revision, tuple(entries))
+
+
+class TellTest(unittest.TestCase):
+  """One node tells another."""
+
+  def setUp(self):
+    self.hub = make_replica()
+    self.spoke = make_replica()
+    self.hub.apply_listing(make_listing(5, i1="h:1", i2="h:2"), 0.0)
+
+  def sync(self, now: float = 0.0) -> None:
+    self.spoke.take_changes(self.hub.make_changes(self.spoke.revision), now)
+
+  def list_keys(self, copy: replica.Replica) -> set[str]:
+    told = copy.make_changes(0).entries
+    return {entry.key for entry in told if entry.value is not None}
+
+  def test_empty_copy_is_told_all(self):
+    self.sync()
+    self.assertEqual(self.list_keys(self.spoke), {"up/i1", "up/i2"})
+    self.assertEqual(self.spoke.revision, 5)
+
+  def test_reports_that_say_the_same_are_not_told(self):
+    self.sync()
+    self.hub.apply_changes([store.Entry("up/i1", "h:1", 6)], 6, 0.0)
+    self.assertEqual(self.hub.news_revision, 5)
+    told = self.hub.make_changes(5)
+    self.assertEqual((told.entries, told.revision), ((), 6))
+
+  def test_news_is_told_once_and_wakes_up(self):
+    self.sync()
+    news = self.hub.news
+    self.hub.apply_changes([store.Entry("up/i1", "h:7", 8)], 8, 0.0)
+    self.assertTrue(news.is_set())
+    self.assertEqual(self.hub.news_revision, 8)
+    self.assertEqual(len(self.hub.make_changes(5).entries), 1)
+    self.sync()
+    self.assertEqual(self.hub.make_changes(self.spoke.revision).entries, ())
+
+  def test_removal_is_told(self):
+    self.sync()
+    self.hub.apply_changes([store.Entry("up/i1", None, 9)], 9, 0.0)
+    self.assertEqual(self.hub.news_revision, 9)
+    self.sync()
+    self.assertEqual(self.list_keys(self.spoke), {"up/i2"})
+
+  def test_removal_that_is_forgotten_is_told_by_a_whole_listing(self):
+    self.sync()
+    self.hub.apply_changes([store.Entry("up/i1", None, 9)], 9, 0.0)
+    self.hub.expire(replica.FORGET_AFTER_S + 1.0)
+    self.sync(40.0)
+    self.assertEqual(self.list_keys(self.spoke), {"up/i2"})
+
+  def test_restarted_node_tells_what_was_removed_before_its_start(self):
+    self.sync()
+    self.hub = make_replica()
+    self.hub.apply_listing(make_listing(12, i2="h:2"), 0.0)
+    self.sync()
+    self.assertEqual(self.list_keys(self.spoke), {"up/i2"})
+
+  def test_whole_listing_takes_nothing_newer_away(self):
+    self.hub.apply_changes([store.Entry("up/i1", None, 9)], 9, 0.0)
+    self.spoke.apply_listing(make_listing(20, i1="h:1", i2="h:2"), 0.0)
+    self.spoke.take_changes(self.hub.make_changes(0), 0.0)
+    self.assertEqual(self.list_keys(self.spoke), {"up/i1", "up/i2"})
+
+
+if __name__ == "__main__":
+  unittest.main()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -8,9 +8,9 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from bronzefold.core import significance
 from bronzefold.node import configuration
 from bronzefold.node import rollouts
-from bronzefold.node import significance
 from bronzefold.node import versions
 from tests import fleet
 from tests import load
--- /dev/null
+++ b/tests/test_topology.py
@@ -0,0 +1,129 @@
+"""Who carries requests, who reads the store, who is linked to whom."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from bronzefold.gateway import topology
+from bronzefold.peers import membership
+
+ZONES = "abcd"
+
+
+def make_fleet(
+  count: int, large: int = 0, large_capacity: float = 2.15
+) -> list[membership.Member]:
+  """Makes nodes in four zones, the first ones of which are large."""
+  return [
+    membership.Member(
+      f"n{number:03d}",
+      ZONES[number % 4],
+      "serving",
+      f"h{number}:1",
+      f"h{number}:2",
+      large_capacity if number < large else 0.516,
+    )
+    for number in range(count)
+  ]
+
+
+def plan_all(
+  fleet: list[membership.Member],
+) -> dict[str, topology.Topology]:
+  """Plans the links of every node."""
+  return {
+    own.node: topology.plan_topology(own, [m for m in fleet if m != own])
+    for own in fleet
+  }
+
+
+class LinkTest(unittest.TestCase):
+  """Links between nodes."""
+
+  @given(count=strategies.integers(17, 90), large=strategies.integers(0, 30))
+  @settings(derandomize=True, deadline=None, max_examples=20)
+  def test_links_are_mutual_and_spokes_have_enough_hubs(self, count, large):
+    plans = plan_all(make_fleet(count, min(large, count)))
+    names = {
+      node: {m.node for m in plan.neighbours} for node, plan in plans.items()
+    }
+    for node, linked in names.items():
+      self.assertNotIn(node, linked)
+      for other in linked:
+        self.assertIn(node, names[other])
+      hubs = [name for name in linked if plans[name].is_hub]
+      self.assertGreaterEqual(len(hubs), 1 if plans[node].is_hub else 3)
+    spokes = sum(len(plan.spokes) for plan in plans.values())
+    hub_count = sum(plan.is_hub for plan in plans.values())
+    self.assertEqual(spokes % max(1, count - hub_count), 0)
+
+  def test_small_fleet_is_a_mesh_of_hubs(self):
+    for plan in plan_all(make_fleet(16, 2)).values():
+      self.assertTrue(plan.is_hub)
+      self.assertEqual((len(plan.neighbours), plan.spokes), (15, ()))
+
+  def test_few_nodes_read_the_store_of_a_large_fleet(self):
+    for count, large in ((64, 8), (300, 0), (600, 40)):
+      fleet = make_fleet(count, large)
+      plans = [
+        topology.plan_topology(own, [m for m in fleet if m != own])
+        for own in fleet[:: max(1, count // 30)]
+      ]
+      share = sum(plan.is_hub for plan in plans) / len(plans)
+      self.assertLessEqual(share, 0.2)
+      links = sum(len(plan.neighbours) for plan in plans) / len(plans)
+      self.assertLessEqual(links, 24)
+
+  def test_hubs_are_the_largest(self):
+    plans = plan_all(make_fleet(64, 8))
+    hubs = {node for node, plan in plans.items() if plan.is_hub}
+    self.assertEqual(hubs, {f"n{number:03d}" for number in range(8)})
+
+
+class CarrierTest(unittest.TestCase):
+  """Nodes to which callers are sent."""
+
+  def test_alike_nodes_all_carry(self):
+    fleet = make_fleet(8)
+    self.assertEqual(len(topology.choose_carriers(fleet)), 8)
+
+  def test_large_nodes_carry_alone(self):
+    chosen = topology.choose_carriers(make_fleet(64, 8))
+    self.assertEqual([m.node for m in chosen], [f"n00{n}" for n in range(8)])
+
+  def test_small_ones_help_when_demand_needs_them(self):
+    fleet = make_fleet(64, 8)
+    self.assertEqual(len(topology.choose_carriers(fleet, 6.0)), 8)
+    self.assertEqual(len(topology.choose_carriers(fleet, 8.0)), 64)
+
+  def test_small_ones_help_when_too_few_large_are_left(self):
+    fleet = make_fleet(64, 8)
+    self.assertEqual(len(topology.choose_carriers(fleet[6:])), 58)
+    self.assertEqual(len(topology.choose_carriers(fleet[:2])), 2)
+
+  @given(
+    count=strategies.integers(1, 64),
+    large=strategies.integers(0, 20),
+    demand=strategies.floats(0, 40),
+  )
+  @settings(derandomize=True, deadline=None)
+  def test_shares_add_up_to_one(self, count, large, demand):
+    fleet = make_fleet(count, large)
+    shares = [topology.compute_share(own, fleet, demand) for own in fleet]
+    self.assertAlmostEqual(sum(shares), 1.0)
+    self.assertGreaterEqual(shares[0], max(shares) - 1e-9)
+
+  def test_node_with_links_to_its_hubs_only_names_hubs(self):
+    fleet = make_fleet(64, 8)
+    plans = plan_all(fleet)
+    for own in fleet[8:]:
+      heard = [own, *plans[own.node].neighbours]
+      named = topology.choose_carriers(heard)
+      self.assertGreaterEqual(len(named), 3)
+      self.assertNotIn(own, named)
+
+
+if __name__ == "__main__":
+  unittest.main()
--- a/tests/test_translation.py
+++ b/tests/test_translation.py
@@ -63,6 +63,8 @@
     allowed = {
       "op/config": (changes.ConfigurationSet, changes.EntryRefused),
       "op/evacuate/a": (changes.ZoneSet,),
+      "op/rollout/s": (changes.OrderSet, changes.EntryRefused),
+      "status/rollout/s": (changes.RecordSet, changes.EntryRefused),
       "servers/i": (changes.InstanceSet, changes.EntryRefused),
     }
     self.assertIsInstance(change, allowed.get(key, (type(None),)))
