End requests that never become whole at the operators' limits

Cause: limits on what a caller sends were judged on whole requests only. A head that never ended was kept in memory without bound and time, a body likewise, and a connection on which nothing was sent stayed for ever.

Now a connection class of the HTTP server ends a head after `headerTimeoutMs` (408) or above `maxHeaderBytes` (431), and a silent connection at the idle limit; a body is refused (413) as soon as it exceeds its limit. Not limited yet: the time that a body may take.

--- a/packages/gateway/src/bronzefold/gateway/application.py
+++ b/packages/gateway/src/bronzefold/gateway/application.py
@@ -153,9 +153,15 @@
     send: Send,
     received_at: Seconds,
   ) -> None:
-    body = await _read_body(receive)
+    largest = self._gateway.get_caller_limits().body_bytes
+    body = await _read_body(receive, largest)
     if body is None:
       return
+    if len(body) > largest:
+      close = ((b"connection", b"close"),)
+      refusal = model.Answer(413, close, outcome="body_too_large")
+      await self._send(send, refusal)
+      return
     request = self._protocol.decode_request(scope, body, received_at)
     if request is None:
       await self._send(send, model.Answer(400, outcome="malformed"))
@@ -187,15 +193,22 @@
     await send({"type": "http.response.body", "body": answer.body})
 
 
-async def _read_body(receive: Receive) -> bytes | None:
-  """Returns the body; None when the caller has left."""
+async def _read_body(receive: Receive, largest: int) -> bytes | None:
+  """Returns the body; None when the caller has left.
+
+  Args:
+    receive: Returns the next message of the request.
+    largest: Size from which on the rest is not read.
+  """
   pieces = []
+  size = 0
   while True:
     message = await receive()
     if message["type"] != "http.request":
       return None
     pieces.append(message.get("body", b""))
-    if not message.get("more_body", False):
+    size += len(pieces[-1])
+    if size > largest or not message.get("more_body", False):
       return b"".join(pieces)
 
 
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -87,10 +87,10 @@
       self._latencies,
     )
 
-  def get_idle_limit(self) -> Seconds:
-    """Returns how long an idle connection of a caller is kept."""
-    limits = self.configuration.limits if self.configuration else None
-    return (limits or model.CallerLimits()).idle_s
+  def get_caller_limits(self) -> model.CallerLimits:
+    """Returns the limits in force on what callers may send."""
+    known = self.configuration
+    return known.limits if known is not None else model.CallerLimits()
 
   def set_share(self, share: float) -> None:
     """Uses this part of each limit from now on."""
@@ -190,11 +190,8 @@
     self.adopt_held(now)
     if self._table is None:
       return _refuse("no_configuration", NOT_READY_RETRY_AFTER_S)
-    limits = self.configuration.limits
-    if request.head_bytes > limits.header_bytes:
+    if request.head_bytes > self.configuration.limits.header_bytes:
       return model.Answer(431, outcome="head_too_large")
-    if len(request.body) > limits.body_bytes:
-      return model.Answer(413, outcome="body_too_large")
     route = self._table.find(request.host, request.path)
     if route is None:
       return model.Answer(404, outcome="no_route")
--- a/packages/gateway/src/bronzefold/gateway/model.py
+++ b/packages/gateway/src/bronzefold/gateway/model.py
@@ -81,11 +81,13 @@
   Attributes:
     header_bytes: Largest request head.
     body_bytes: Largest body.
+    head_s: How long a caller may take to send a request head.
     idle_s: How long an idle connection is kept.
   """
 
   header_bytes: int = 16 * 1024
   body_bytes: int = 256 * 1024
+  head_s: Seconds = 3.0
   idle_s: Seconds = 15.0
 
 
--- a/packages/gateway/src/bronzefold/gateway/program.py
+++ b/packages/gateway/src/bronzefold/gateway/program.py
@@ -24,9 +24,11 @@
 from bronzefold.core import servers
 from bronzefold.core import supervision
 from bronzefold.gateway import application
+from bronzefold.gateway import connections
 from bronzefold.gateway import fleet
 from bronzefold.gateway import following
 from bronzefold.gateway import gateway as gateways
+from bronzefold.gateway import model
 from bronzefold.gateway import replica
 from bronzefold.gateway import sending
 from bronzefold.gateway import settings
@@ -180,11 +182,11 @@
   def _make_server_config(self) -> _ServerConfig:
     rest_s = self._own.stop_limit_s - LINGER_S - STOP_MARGIN_S
     return _ServerConfig(
-      self._gateway.get_idle_limit,
+      self._gateway.get_caller_limits,
       self._application,
       log_config=None,
       access_log=False,
-      http="httptools",
+      http=connections.make_connection_class(self._gateway.get_caller_limits),
       ws="none",
       lifespan="off",
       proxy_headers=False,
@@ -200,17 +202,17 @@
 
   def __init__(
     self,
-    get_idle_limit: Callable[[], float],
+    get_limits: Callable[[], model.CallerLimits],
     application: object,
     **options: Any,
   ) -> None:
-    self._get_idle_limit = get_idle_limit
+    self._get_limits = get_limits
     super().__init__(application, **options)
 
   @property
   def timeout_keep_alive(self) -> float:
     """Returns the limit in seconds, asked for at each new connection."""
-    return self._get_idle_limit()
+    return self._get_limits().idle_s
 
   @timeout_keep_alive.setter
   def timeout_keep_alive(self, _: float) -> None:
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,110 @@
+"""Callers that send too slowly, too much or nothing."""
+
+import socket
+import time
+import unittest
+
+from tests import gateways
+from tests.standins import site as sites
+
+HEAD_S = 0.6
+IDLE_S = 1.2
+HEAD_BYTES = 4096
+BODY_BYTES = 20_000
+START = b"POST /shop/x HTTP/1.1\r\nHost: shop.example\r\n"
+
+
+class LimitsTest(unittest.TestCase):
+  """One node with small limits."""
+
+  def setUp(self):
+    site = self.enterContext(sites.Site())
+    self.leaf = site.add_leaf(sites.Leaf("i-shop", "shop", b"shop"))
+    route = sites.make_route("shop", service="shop")
+    document = sites.make_configuration(1, [route])
+    document["limits"] = {
+      "maxHeaderBytes": HEAD_BYTES,
+      "maxBodyBytes": BODY_BYTES,
+      "headerTimeoutMs": HEAD_S * 1e3,
+      "idleTimeoutMs": IDLE_S * 1e3,
+    }
+    site.put("op/config", document)
+    self.node = self.enterContext(gateways.Node(site, "n0"))
+    self.node.wait_ready()
+
+  def connect(self) -> socket.socket:
+    address = ("127.0.0.1", self.node.front)
+    return self.enterContext(socket.create_connection(address, timeout=5.0))
+
+  def read_end(self, made: socket.socket) -> tuple[bytes, float]:
+    """Reads until the connection ends; returns the bytes and the time."""
+    started = time.monotonic()
+    pieces = list(iter(lambda: made.recv(4096), b""))
+    return b"".join(pieces), time.monotonic() - started
+
+  def test_slow_head_gets_408(self):
+    made = self.connect()
+    made.sendall(START)
+    time.sleep(HEAD_S / 2)
+    made.sendall(b"X-Slow: 1\r\n")
+    answer, took_s = self.read_end(made)
+    self.assertIn(b" 408 ", answer.partition(b"\r\n")[0])
+    self.assertLess(took_s, HEAD_S)
+
+  def test_head_in_two_pieces_is_served(self):
+    made = self.connect()
+    made.sendall(START)
+    time.sleep(HEAD_S / 4)
+    made.sendall(
+      b"Bronzefold-Request-Id: r1\r\nConnection: close\r\n"
+      b"Content-Length: 0\r\n\r\n"
+    )
+    answer, _ = self.read_end(made)
+    self.assertIn(b" 200 ", answer.partition(b"\r\n")[0])
+    self.assertEqual(self.leaf.runs, ["r1"])
+
+  def test_endless_head_gets_431(self):
+    made = self.connect()
+    made.sendall(START)
+    for _ in range(2):
+      made.sendall(b"X-More: " + b"x" * 3000 + b"\r\n")
+      time.sleep(0.05)
+    answer, took_s = self.read_end(made)
+    self.assertIn(b" 431 ", answer.partition(b"\r\n")[0])
+    self.assertLess(took_s, HEAD_S / 2)
+
+  def test_body_is_refused_before_its_end(self):
+    made = self.connect()
+    made.sendall(
+      START + b"Bronzefold-Request-Id: r2\r\nContent-Length: 1000000\r\n\r\n"
+    )
+    made.sendall(b"x" * (BODY_BYTES + 1))
+    answer = made.recv(4096)
+    self.assertIn(b" 413 ", answer.partition(b"\r\n")[0])
+    self.assertEqual(self.leaf.arrivals, [])
+
+  def test_silent_connection_is_closed(self):
+    answer, took_s = self.read_end(self.connect())
+    self.assertEqual(answer, b"")
+    self.assertGreater(took_s, IDLE_S / 2)
+    self.assertLess(took_s, IDLE_S + 0.5)
+
+  def test_connection_is_kept_between_requests(self):
+    made = self.connect()
+    for number in range(3):
+      made.sendall(
+        START
+        + b"Bronzefold-Request-Id: k%d\r\nContent-Length: 0\r\n\r\n" % number
+      )
+      answer = b""
+      while not answer.endswith(b"shop"):
+        piece = made.recv(4096)
+        self.assertTrue(piece, answer)
+        answer += piece
+      self.assertIn(b" 200 ", answer.partition(b"\r\n")[0])
+      time.sleep(HEAD_S * 1.3)
+    self.assertEqual(self.leaf.runs, ["k0", "k1", "k2"])
+
+
+if __name__ == "__main__":
+  unittest.main()
