Give new connections time for their first request when a server stops

A server that stops now waits up to 0.5 s for the first request of each new connection, whether it was taken at the end or before. A gateway node counts this in its stop limit: what is in progress has 2.5 s instead of 3, and the process ends as early as before. A silent connection holds the stop for 0.5 s and no longer.

--- a/packages/core/src/bronzefold/core/servers.py
+++ b/packages/core/src/bronzefold/core/servers.py
@@ -9,14 +9,16 @@
 
 import uvicorn
 
-_FIRST_REQUEST_S = 0.2  # a caller sends right after its connection is made
+FIRST_REQUEST_S = 0.5  # 0.2 s is usual on a busy machine
+_POLL_S = 0.02
 
 
 class GracefulServer(uvicorn.Server):
   """A uvicorn server that leaves signals to the program.
 
   When it stops, connections that the system has made and the server has not
-  yet taken are taken and answered; uvicorn resets them.
+  yet taken are taken, and those on which nothing was read yet have
+  ``FIRST_REQUEST_S`` for a request; uvicorn resets both.
   """
 
   def capture_signals(self) -> contextlib.AbstractContextManager[None]:
@@ -43,10 +45,15 @@
     loop = asyncio.get_running_loop()
     for connection in taken:
       await loop.connect_accepted_socket(self._make_protocol, connection)
-    if taken:
-      await asyncio.sleep(_FIRST_REQUEST_S)
+    until = loop.time() + FIRST_REQUEST_S
+    while self._has_new() and loop.time() < until:
+      await asyncio.sleep(_POLL_S)
     await super().shutdown(sockets)
 
+  def _has_new(self) -> bool:
+    """True while a connection has not had its first request."""
+    return any(made.cycle is None for made in self.server_state.connections)
+
   def _make_protocol(self) -> asyncio.Protocol:
     return self.config.http_protocol_class(
       config=self.config,
--- a/packages/gateway/src/bronzefold/gateway/program.py
+++ b/packages/gateway/src/bronzefold/gateway/program.py
@@ -180,7 +180,8 @@
     self._server.finish()
 
   def _make_server_config(self) -> _ServerConfig:
-    rest_s = self._own.stop_limit_s - LINGER_S - STOP_MARGIN_S
+    last_s = LINGER_S + servers.FIRST_REQUEST_S + STOP_MARGIN_S
+    rest_s = self._own.stop_limit_s - last_s
     return _ServerConfig(
       self._gateway.get_caller_limits,
       self._application,
@@ -192,7 +193,7 @@
       proxy_headers=False,
       server_header=False,
       date_header=False,
-      timeout_graceful_shutdown=max(1, int(rest_s)),
+      timeout_graceful_shutdown=max(1.0, rest_s),
       backlog=BACKLOG,
     )
 
