Log every refusal, and what a stopping server cannot take

Found in reading: requests refused before they had a route (503 without a configuration, 404, 400, 408, 413, 431) left no line; a stopping server swallowed one error without a line and, with no descriptor left, ended its stop with another.

Now events 712 and 108 tell both, and the stop goes on. test_servers (no descriptor left) and four tests of test_connections fail on the code before.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -134,6 +134,12 @@
   logging.WARNING,
   "The node stopped sending traffic to a faulty version.",
 )
+ACCEPT_FAILED = _register(
+  108,
+  "accept_failed",
+  logging.WARNING,
+  "A stopping server could not take a waiting connection or end its socket.",
+)
 CLAIM_UNRESOLVED = _register(
   600,
   "claim_unresolved",
@@ -182,6 +188,12 @@
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
+REQUEST_REFUSED = _register(
+  712,
+  "request_refused",
+  logging.INFO,
+  "A request was refused before it had a route.",
+)
 REQUEST_CANCELLED = _register(
   711, "request_cancelled", logging.INFO, "The caller left before the answer."
 )
--- a/packages/core/src/bronzefold/core/servers.py
+++ b/packages/core/src/bronzefold/core/servers.py
@@ -5,12 +5,17 @@
 import asyncio
 import contextlib
 import errno
+import logging
 import socket
 
 import uvicorn
 
-FIRST_REQUEST_S = 0.5  # 0.2 s is usual on a busy machine
-_POLL_S = 0.02
+from bronzefold.core import events
+
+FIRST_REQUEST_S = 0.5  # a twelfth of the 6 s that the users give to stop
+_POLL_S = 0.02  # 25 looks in that time
+
+_logger = logging.getLogger(__name__)
 
 
 class GracefulServer(uvicorn.Server):
@@ -72,13 +77,15 @@
     except BlockingIOError:
       break
     except OSError as error:
-      # A connection that its caller has reset meanwhile; others may follow.
-      if error.errno != errno.ECONNABORTED:
-        raise
-      continue
+      events.ACCEPT_FAILED.log(_logger, reason=str(error))
+      if error.errno == errno.ECONNABORTED:
+        continue  # its caller has gone; others may follow
+      break
     connection.setblocking(False)
     taken.append(connection)
   # Closing comes a turn of the loop later, in which more would be reset.
-  with contextlib.suppress(OSError):  # not every system knows it here
+  try:
     listener.shutdown(socket.SHUT_RDWR)
+  except OSError as error:  # not every system knows it for such sockets
+    events.ACCEPT_FAILED.log(_logger, reason=str(error))
   return taken
--- a/packages/gateway/src/bronzefold/gateway/application.py
+++ b/packages/gateway/src/bronzefold/gateway/application.py
@@ -160,11 +160,11 @@
     if len(body) > largest:
       close = ((b"connection", b"close"),)
       refusal = model.Answer(413, close, outcome="body_too_large")
-      await self._send(send, refusal)
+      await self._refuse(send, refusal)
       return
     request = self._protocol.decode_request(scope, body, received_at)
     if request is None:
-      await self._send(send, model.Answer(400, outcome="malformed"))
+      await self._refuse(send, model.Answer(400, outcome="malformed"))
       return
     answer = None
     async with anyio.create_task_group() as tasks:
@@ -178,6 +178,13 @@
       return
     await self._send(send, answer)
 
+  async def _refuse(self, send: Send, answer: model.Answer) -> None:
+    """Answers a request of which not even the id is sure."""
+    events.REQUEST_REFUSED.log(
+      _logger, status=answer.status, outcome=answer.outcome
+    )
+    await self._send(send, answer)
+
   async def _send(self, send: Send, answer: model.Answer) -> None:
     headers = self._protocol.encode_headers(answer)
     headers.append((b"content-length", b"%d" % len(answer.body)))
--- a/packages/gateway/src/bronzefold/gateway/connections.py
+++ b/packages/gateway/src/bronzefold/gateway/connections.py
@@ -4,12 +4,16 @@
 
 import asyncio
 from collections.abc import Callable
+import logging
 from typing import Any
 
 from uvicorn.protocols.http import httptools_impl
 
+from bronzefold.core import events
 from bronzefold.gateway import model
 
+_logger = logging.getLogger(__name__)
+
 _REFUSALS = {
   408: b"HTTP/1.1 408 Request Timeout",
   431: b"HTTP/1.1 431 Request Header Fields Too Large",
@@ -91,6 +95,12 @@
     self._stop_timer()
     if self.transport.is_closing():
       return
+    events.REQUEST_REFUSED.log(
+      _logger,
+      status=status,
+      outcome="head_too_slow" if status == 408 else "head_too_large",
+      read_bytes=self._head_bytes,
+    )
     if self.cycle is None or self.cycle.response_complete:
       self.transport.write(_REFUSALS[status] + _REFUSAL_END)
     self.transport.close()
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -189,12 +189,15 @@
     now = clock.read_monotonic()
     self.adopt_held(now)
     if self._table is None:
-      return _refuse("no_configuration", NOT_READY_RETRY_AFTER_S)
+      refusal = _refuse("no_configuration", NOT_READY_RETRY_AFTER_S)
+      return self._note_refusal(request, refusal)
     if request.head_bytes > self.configuration.limits.header_bytes:
-      return model.Answer(431, outcome="head_too_large")
+      refusal = model.Answer(431, outcome="head_too_large")
+      return self._note_refusal(request, refusal)
     route = self._table.find(request.host, request.path)
     if route is None:
-      return model.Answer(404, outcome="no_route")
+      refusal = model.Answer(404, outcome="no_route")
+      return self._note_refusal(request, refusal)
     budget_s = min(route.timeout_s, request.budget_s or route.timeout_s)
     deadline = request.received_at + budget_s
     services = route.shards or (self._splits.choose(route),)
@@ -215,6 +218,21 @@
     self.metrics.set_state("upstreams", self.upstreams.count())
     self.metrics.set_state("limit_share", self.share)
 
+  def _note_refusal(
+    self, request: model.Request, answer: model.Answer
+  ) -> model.Answer:
+    """Logs and counts a request that has no route."""
+    events.REQUEST_REFUSED.log(
+      _logger,
+      request=request.id.decode("latin-1"),
+      status=answer.status,
+      outcome=answer.outcome,
+      version=self.configuration.version if self.configuration else None,
+    )
+    took_s = clock.read_monotonic() - request.received_at
+    self.metrics.record_request("gateway", "", answer.outcome, took_s)
+    return answer
+
   def _record(
     self,
     request: model.Request,
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -42,6 +42,17 @@
     pieces = list(iter(lambda: made.recv(4096), b""))
     return b"".join(pieces), time.monotonic() - started
 
+  def assert_logged(self, outcome: str, request: str | None = None) -> None:
+    lines = self.node.read_events("request_refused")
+    told = [(line["outcome"], line.get("request")) for line in lines]
+    self.assertIn((outcome, request), told)
+
+  def test_refusals_are_logged(self):
+    self.node.send("/unknown/", request_id="r-unknown")
+    self.assert_logged("no_route", "r-unknown")
+    gateways.call(self.node.front, "/shop/", headers={"Host": "shop.example"})
+    self.assert_logged("malformed")
+
   def test_slow_head_gets_408(self):
     made = self.connect()
     made.sendall(START)
@@ -50,6 +61,7 @@
     answer, took_s = self.read_end(made)
     self.assertIn(b" 408 ", answer.partition(b"\r\n")[0])
     self.assertLess(took_s, HEAD_S)
+    self.assert_logged("head_too_slow")
 
   def test_head_in_two_pieces_is_served(self):
     made = self.connect()
@@ -72,6 +84,7 @@
     answer, took_s = self.read_end(made)
     self.assertIn(b" 431 ", answer.partition(b"\r\n")[0])
     self.assertLess(took_s, HEAD_S / 2)
+    self.assert_logged("head_too_large")
 
   def test_body_is_refused_before_its_end(self):
     made = self.connect()
@@ -82,6 +95,7 @@
     answer = made.recv(4096)
     self.assertIn(b" 413 ", answer.partition(b"\r\n")[0])
     self.assertEqual(self.leaf.arrivals, [])
+    self.assert_logged("body_too_large")
 
   def test_silent_connection_is_closed(self):
     answer, took_s = self.read_end(self.connect())
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -1,8 +1,10 @@
 """The end of an HTTP server."""
 
 import asyncio
+import errno
 import socket
 import unittest
+from unittest import mock
 
 import uvicorn
 
@@ -73,6 +75,15 @@
       limit_s = servers.FIRST_REQUEST_S + 1.0
       await asyncio.wait_for(self.task, limit_s)
 
+  async def test_stops_when_no_connection_can_be_taken(self):
+    reason = OSError(errno.EMFILE, "Too many open files")
+    broken = mock.Mock(wraps=self.listener)
+    broken.accept.side_effect = reason
+    with self.assertLogs("bronzefold.core.servers", "WARNING") as logged:
+      await self.server.shutdown([broken])
+    self.assertIn("Too many open files", logged.output[0])
+    self.task.cancel()
+
   async def test_stops_without_anyone_waiting(self):
     self.server.finish()
     await asyncio.wait_for(self.task, 2.0)
