Follow a move's record when it vanishes; do not suspect a version that is done

Found in reading: when the record in the store was removed, every later write was conditional on its old revision and refused for good; counts of other nodes that came after the end of a move logged that this node sends the version nothing more, which was not so. Nodes that had left stayed in a dictionary of the fleet.

The tests of both fail on the code before; one more covers the passing on of counts.

--- a/packages/gateway/src/bronzefold/gateway/changes.py
+++ b/packages/gateway/src/bronzefold/gateway/changes.py
@@ -71,6 +71,13 @@
   record: rollouts.Record
 
 
+@attrs.frozen
+class RecordRemoved:
+  """Such a record has vanished."""
+
+  service: str
+
+
 @attrs.frozen
 class EntryRefused:
   """An entry that cannot be used.
@@ -94,6 +101,7 @@
   | OrderSet
   | OrderRemoved
   | RecordSet
+  | RecordRemoved
   | EntryRefused
 )
 
@@ -220,6 +228,14 @@
   return is_news
 
 
+@_register(RecordRemoved)
+def _remove_record(
+  gateway: gateways.Gateway, change: RecordRemoved, now: Seconds
+) -> bool:
+  del now
+  return gateway.rollouts.remove_record(change.service)
+
+
 @_register(EntryRefused)
 def _refuse_entry(
   gateway: gateways.Gateway, change: EntryRefused, now: Seconds
--- a/packages/gateway/src/bronzefold/gateway/fleet.py
+++ b/packages/gateway/src/bronzefold/gateway/fleet.py
@@ -208,11 +208,12 @@
     self._last_known.update(
       (member.node, (member, now)) for member in self._members.list_others()
     )
-    lately = [
-      member
-      for member, seen_at in self._last_known.values()
+    self._last_known = {
+      node: (member, seen_at)
+      for node, (member, seen_at) in self._last_known.items()
       if now - seen_at < COUNTED_S
-    ]
+    }
+    lately = [member for member, _ in self._last_known.values()]
     demand = _sum_demand(self._members.list_serving(now))
     share = topology.compute_share(own, [own, *lately], demand)
     self._shares.append((now, share))
--- a/packages/gateway/src/bronzefold/gateway/rollouts.py
+++ b/packages/gateway/src/bronzefold/gateway/rollouts.py
@@ -139,6 +139,10 @@
     self._records[record.service] = record
     return True
 
+  def remove_record(self, service: str) -> bool:
+    """Takes note that the store holds no state of a service any more."""
+    return self._records.pop(service, None) is not None
+
   def get_state(self, service: str) -> MoveState | None:
     """Returns the state of a service's move; None if there is none."""
     move = self._moves.get(service)
@@ -272,7 +276,9 @@
   ) -> None:
     move.observed.record(version, route, counts, now)
     is_bad = counts.failed or counts.slow
-    if move.fault or not is_bad or version != move.order.version:
+    if not is_bad or version != move.order.version:
+      return
+    if self.get_state(move.order.service) is not MoveState.RUNNING:
       return
     versions = move.observed.list_versions() - {version}
     fault = move.observed.find_fault(version, versions, [route], now)
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -130,6 +130,25 @@
     (record,) = self.moves.list_due(0, 0.0)
     self.assertEqual(record.revision, 5)
 
+  def test_record_that_vanished_is_written_anew(self):
+    self.write(rollouts.MoveState.RUNNING, 8)
+    self.assertTrue(self.moves.remove_record("s"))
+    (record,) = self.moves.list_due(0, 1.0)
+    self.assertEqual(record.revision, 0)
+
+  def test_version_that_is_done_is_not_suspected(self):
+    self.write(rollouts.MoveState.DONE, 8)
+    with self.assertNoLogs("bronzefold.gateway.rollouts", "WARNING"):
+      self.observe(("v1", GOOD), ("v2", FAILED))
+    self.assertEqual(self.moves.get_state("s"), rollouts.MoveState.DONE)
+
+  def test_observations_of_others_are_passed_on_by_hubs_only(self):
+    told = rollouts.Observation("s", "v2", "r", evidence.Counts(good=2))
+    self.moves.add_observation(told, False, 1.0)
+    self.assertEqual(self.moves.take_unsent(), [])
+    self.moves.add_observation(told, True, 1.0)
+    self.assertEqual(self.moves.take_unsent(), [told])
+
   def test_withdrawn_order_ends_the_move(self):
     self.assertTrue(self.moves.cancel_order("s"))
     self.assertIsNone(self.moves.get_state("s"))
