Log the rate limit that an upstream announces

The platform's header is decoded, and each node logs a change of the announced rate with the count of requests that it has sent to the upstream.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -200,6 +200,12 @@
   logging.WARNING,
   "The state of a rollout was not written; another node may have done it.",
 )
+RATE_LIMIT_CHANGED = _register(
+  709,
+  "rate_limit_changed",
+  logging.INFO,
+  "An upstream has announced a rate limit, changed it or ended it.",
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- a/packages/gateway/src/bronzefold/gateway/inventory.py
+++ b/packages/gateway/src/bronzefold/gateway/inventory.py
@@ -29,6 +29,9 @@
     leaving_since: Monotonic time at which this node was informed that the
       upstream leaves or has left; None while it stays.
     is_replaced: True once another upstream answered at the same address.
+    rate_limit_per_s: Rate limit of its last response; None if it announced
+      none.
+    sent_count: Number of requests that this node has sent to it.
   """
 
   instance: model.Instance
@@ -36,6 +39,8 @@
   health: health.Health = attrs.field(factory=health.Health)
   leaving_since: Seconds | None = None
   is_replaced: bool = False
+  rate_limit_per_s: float | None = None
+  sent_count: int = 0
 
 
 class Inventory:
--- a/packages/gateway/src/bronzefold/gateway/model.py
+++ b/packages/gateway/src/bronzefold/gateway/model.py
@@ -179,6 +179,8 @@
     seal: Signature of the response; empty if it has none.
     did_not_run: True if the upstream states that the request did not run.
     is_misdirected: True if another upstream now has the address.
+    rate_limit_per_s: Requests per second that the upstream accepts from all
+      nodes together; None if it announces no limit.
   """
 
   status: int
@@ -187,6 +189,7 @@
   seal: bytes = b""
   did_not_run: bool = False
   is_misdirected: bool = False
+  rate_limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 import enum
 import itertools
+import logging
 from typing import Protocol
 
 from anyio import abc
 import attrs
 
 from bronzefold.core import clock
+from bronzefold.core import events
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import inventory
@@ -66,6 +68,7 @@
 
 
 _attempt_numbers = itertools.count()
+_logger = logging.getLogger(__name__)
 
 
 @attrs.define(eq=False)
@@ -201,6 +204,7 @@
       request, attempt.upstream.instance.id, time_left_s
     )
     attempt.was_sent = True
+    attempt.upstream.sent_count += 1
     attempt.connection = connection
     response_future = connection.start(
       data,
@@ -237,6 +241,8 @@
         health.record_failure(now)
       return
     response = self._protocol.decode_response(completed.result())
+    if not response.is_misdirected:
+      _record_rate_limit(attempt.upstream, response.rate_limit_per_s)
     if response.did_not_run:
       self._record_outcome(attempt, Outcome.NOT_RUN, response=response)
       if response.is_misdirected:
@@ -262,3 +268,21 @@
     attempt.response = response
     attempt.error = error
     attempt.upstream.health.in_flight.pop(attempt.number, None)
+
+
+def _record_rate_limit(
+  upstream: inventory.Upstream, rate_limit_per_s: float | None
+) -> None:
+  """Stores and logs the rate limit of a response if it has changed."""
+  previous = upstream.rate_limit_per_s
+  if rate_limit_per_s == previous:
+    return
+  upstream.rate_limit_per_s = rate_limit_per_s
+  events.RATE_LIMIT_CHANGED.log(
+    _logger,
+    instance=upstream.instance.id,
+    service=upstream.instance.service,
+    limit_per_s=rate_limit_per_s,
+    previous_per_s=previous,
+    sent=upstream.sent_count,
+  )
