Keep to rate limits that upstreams announce, all nodes together

Cause: nothing read the announcement, and a limit on a shared resource had no mechanism that divides it by demand. Nodes of the upstream's zone send five times as much to it as the others, so equal shares would not fit either.

Change: each request to a limited upstream costs a token. One node, chosen by rendezvous hashing over the hubs that are alive, allocates an upstream's tokens at the announced rate; tokens are valid for half a second, and a node that sees only some of the hubs alive allocates only that part of the limit. Nodes inform each other of limits and of their end. A request that rate limits exclude is refused within 10 ms, before anything is sent, with the time of the next token as Retry-After.

Evidence: tests.test_gateway_fleet.RateLimitTest .test_nodes_together_exceed_announced_rate_limit counted 759 requests in 4 s on the code before, where 65 are allowed, and passes now.

--- a/packages/core/src/bronzefold/core/budgets.py
+++ b/packages/core/src/bronzefold/core/budgets.py
@@ -1,8 +1,9 @@
-"""Budgets of extra requests, and the latency estimate that times hedges."""
+"""Budgets of requests, and the latency estimate that times hedges."""
 
 from __future__ import annotations
 
 import collections
+import math
 
 import attrs
 
@@ -79,6 +80,48 @@
     self._samples_since_refresh = 0
 
 
+class TokenBucket:
+  """Tokens that accrue at a rate, up to a burst; it starts empty."""
+
+  def __init__(self, now: Seconds) -> None:
+    """Creates an empty bucket in which nothing accrues until ``set_rate``."""
+    self._rate_per_s = 0.0
+    self._burst = 0.0
+    self._tokens = 0.0
+    self._updated_at = now
+
+  def set_rate(self, rate_per_s: float, burst: float, now: Seconds) -> None:
+    """Sets the rate from now on.
+
+    Args:
+      rate_per_s: Tokens that accrue in a second.
+      burst: Most tokens that the bucket holds.
+      now: Monotonic time.
+    """
+    self._update(now)
+    self._rate_per_s = rate_per_s
+    self._burst = burst
+    self._tokens = min(self._tokens, burst)
+
+  def take(self, count: int, now: Seconds) -> int:
+    """Takes up to ``count`` tokens; returns their number."""
+    self._update(now)
+    taken = min(count, int(self._tokens))
+    self._tokens -= taken
+    return taken
+
+  def get_wait(self, now: Seconds) -> Seconds:
+    """Returns the time until a whole token is there, in seconds."""
+    self._update(now)
+    missing = max(0.0, 1.0 - self._tokens)
+    return missing / self._rate_per_s if self._rate_per_s else math.inf
+
+  def _update(self, now: Seconds) -> None:
+    accrued = self._rate_per_s * max(0.0, now - self._updated_at)
+    self._tokens = min(self._burst, self._tokens + accrued)
+    self._updated_at = max(self._updated_at, now)
+
+
 class WindowBudget:
   """Bounds extra requests in every window of a fixed length.
 
--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -206,6 +206,12 @@
   logging.INFO,
   "An upstream has announced a rate limit, changed it or ended it.",
 )
+TOKENS_ALLOCATED = _register(
+  713,
+  "tokens_allocated",
+  logging.INFO,
+  "This node now allocates the requests to an upstream with a rate limit.",
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -16,6 +16,7 @@
 from bronzefold.gateway import gateway as gateways
 from bronzefold.gateway import replica
 from bronzefold.gateway import rollouts
+from bronzefold.gateway import tokens
 from bronzefold.gateway import topology
 from bronzefold.peers import membership
 from bronzefold.peers import messages
@@ -74,6 +75,10 @@
     self._last_send_count = 0
     self._last_topology_inputs: tuple[tuple[str, str, float], ...] = ()
     self._topology = topology.Topology(is_hub=True, neighbours=())
+    self._tokens = tokens.TokenExchange(
+      members, network, gateway.upstreams, lambda: self._topology
+    )
+    gateway.token_source = self._tokens
 
   async def run(self) -> None:
     """Sends heartbeats until cancelled.
@@ -161,6 +166,12 @@
       self._replica.apply_peer_changes(message, now)
     elif isinstance(message, messages.Samples):
       self._handle_version_counts(sender, message, now)
+    elif isinstance(message, messages.RateLimitNotice):
+      self._tokens.handle_notice(message, now)
+    elif isinstance(message, messages.TokenRequest):
+      self._tokens.handle_request(sender, message, now)
+    elif isinstance(message, messages.TokenGrant):
+      self._tokens.handle_grant(message, now)
 
   def _run_periodic_work(self, now: Seconds) -> None:
     self._update_topology()
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -38,6 +38,8 @@
 HEDGE_BUDGET_SHARE = 0.85  # with 0.6, 79 of 110 late shards had no hedge
 # Share of the expected latency; 1.0 withheld hedges that would have helped.
 MIN_TIME_LEFT_SHARE = 0.5
+# Ten round trips between zones; an allocator that takes longer is unreachable.
+MAX_TOKEN_WAIT_S = 0.01
 TIMER_SLACK_S = 0.0005  # timers fire up to this early
 
 
@@ -87,6 +89,7 @@
     zone: Availability zone of this node.
     get_retry_budget: Returns the budget of extra requests to a service.
     latency_quantiles: Latency quantiles by route name, for hedging.
+    request_tokens: Requests tokens for an upstream with a rate limit.
   """
 
   sender: sending.Sender
@@ -95,6 +98,7 @@
   zone: str
   get_retry_budget: Callable[[str], budgets.WindowBudget]
   latency_quantiles: dict[str, budgets.LatencyQuantile]
+  request_tokens: selection.RequestTokens
 
 
 class FanOut:
@@ -105,6 +109,8 @@
     hedge_count: Number of attempts started while another one was pending.
     retry_count: Number of attempts started after a failed one.
     withheld_counts: Number of attempts that were not started, by reason.
+    token_wait_s: Time until rate limits may permit the request; 0 if they did
+      not prevent it.
   """
 
   def __init__(
@@ -128,10 +134,12 @@
     self.hedge_count = 0
     self.retry_count = 0
     self.withheld_counts: collections.Counter[str] = collections.Counter()
+    self.token_wait_s: Seconds = 0.0
     self._dependencies = dependencies
     self._request = request
     self._route = route
     self._deadline = deadline
+    self._token_deadline = deadline
     self._ended_attempts: list[tuple[ShardRequest, sending.Attempt]] = []
     self._wake = anyio.Event()
     # Tolerates rounding errors of ``min_coverage``.
@@ -152,10 +160,15 @@
     """
     respond_at = self._request.received_at + self._route.latency_objective_s
     respond_at -= RESPONSE_RESERVE_S
+    self._token_deadline = now + MAX_TOKEN_WAIT_S
     try:
       for shard in self.shards:
         self._dependencies.get_retry_budget(shard.service).earn(now)
-        self._send_first(shard, now)
+      if self._dependencies.upstreams.limited_ids:
+        now = await self._wait_for_tokens(now)
+      for shard in self.shards:
+        if not shard.has_failed:
+          self._send_first(shard, now)
       while not self._is_decided(respond_at, now):
         wake_at = self._get_wake_time(respond_at, now)
         with anyio.move_on_after(max(0.0, wake_at - now)):
@@ -167,6 +180,60 @@
     finally:
       self._abandon_pending()
 
+  async def _wait_for_tokens(self, now: Seconds) -> Seconds:
+    """Waits until rate limits permit enough shards, or fails all shards.
+
+    Nothing is sent before, so a request that is refused costs no tokens and no
+    work at upstreams.
+
+    Args:
+      now: Monotonic time.
+
+    Returns:
+      The monotonic time after the wait.
+    """
+    while (wait_s := self._estimate_token_wait(now)) > 0.0:
+      if now + wait_s > self._token_deadline:
+        self.token_wait_s = wait_s
+        for shard in self.shards:
+          shard.has_failed = True
+        self.withheld_counts["first: rate limit"] += len(self.shards)
+        break
+      await anyio.sleep(wait_s)
+      now = clock.read_monotonic()
+    return now
+
+  def _estimate_token_wait(self, now: Seconds) -> Seconds:
+    """Returns when rate limits permit the shards that the response needs.
+
+    Shards without a usable upstream count as permitted; sending decides on
+    them.
+
+    Args:
+      now: Monotonic time.
+
+    Returns:
+      The time in seconds, 0 if they permit it now.
+    """
+    waits = sorted(
+      self._estimate_shard_token_wait(shard, now) for shard in self.shards
+    )
+    return waits[max(1, self._min_parts) - 1]
+
+  def _estimate_shard_token_wait(
+    self, shard: ShardRequest, now: Seconds
+  ) -> Seconds:
+    candidates = self._dependencies.upstreams.list_candidates(
+      shard.service, now
+    )
+    usable = selection.list_usable(candidates, (), now)
+    request_tokens = self._dependencies.request_tokens
+    if not usable or any(
+      selection.has_token(upstream, request_tokens, now) for upstream in usable
+    ):
+      return 0.0
+    return selection.get_token_wait(usable, now)
+
   def _is_decided(self, respond_at: Seconds, now: Seconds) -> bool:
     """True once waiting longer is useless or not worth it.
 
@@ -229,10 +296,16 @@
     if chosen is not None:
       self._send(shard, chosen, now)
       shard.next_attempt_at = now + self._hedge_delay_s
-    elif usable:
-      shard.next_attempt_at = now + BUSY_RECHECK_DELAY_S
-    else:
+    elif not usable:
       shard.has_failed = True
+    else:
+      wait_s = selection.get_token_wait(usable, now)
+      if wait_s > 0.0 and now + wait_s > self._token_deadline:
+        self.withheld_counts["first: rate limit"] += 1
+        self.token_wait_s = wait_s
+        shard.has_failed = True
+      else:
+        shard.next_attempt_at = now + max(wait_s, BUSY_RECHECK_DELAY_S)
 
   def _hedge(
     self, shard: ShardRequest, respond_at: Seconds, now: Seconds
@@ -244,7 +317,9 @@
         "hedge: busy" if usable else "hedge: no upstream"
       ] += 1
       shard.next_attempt_at = now + (
-        BUSY_RECHECK_DELAY_S if usable else NO_UPSTREAM_RECHECK_DELAY_S
+        max(BUSY_RECHECK_DELAY_S, selection.get_token_wait(usable, now))
+        if usable
+        else NO_UPSTREAM_RECHECK_DELAY_S
       )
       return
     default_s = selection.get_default_latency(usable)
@@ -325,13 +400,19 @@
       now=now,
     )
     chosen = selection.choose_upstream(
-      usable, tried, self._dependencies.zone, now
+      usable,
+      tried,
+      self._dependencies.zone,
+      self._dependencies.request_tokens,
+      now,
     )
     return usable, chosen
 
   def _send(
     self, shard: ShardRequest, chosen: inventory.Upstream, now: Seconds
   ) -> None:
+    if chosen.rate_limit is not None:
+      chosen.rate_limit.spend(now)
     attempt = self._dependencies.sender.start(
       self._request,
       chosen,
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from typing import Protocol
 
 from anyio import abc
 import attrs
@@ -17,6 +18,7 @@
 from bronzefold.gateway import inventory
 from bronzefold.gateway import merges
 from bronzefold.gateway import model
+from bronzefold.gateway import ratelimits
 from bronzefold.gateway import rollouts
 from bronzefold.gateway import routing
 from bronzefold.gateway import selection
@@ -27,6 +29,7 @@
 # store, the rest is a margin.
 MAX_PENDING_S = 1.4
 HEDGE_QUANTILE = 0.87  # hedges 13% of the sends; the limit is 20% extra
+MAX_RETRY_AFTER_S = 1.0  # a rate limit may end at any moment
 RETRY_AFTER_S = 0.05  # below the shortest latency objective in use, 56 ms
 NOT_READY_RETRY_AFTER_S = 0.3  # about as long as a node takes to start
 # With 0.65, nodes had too few connections, which lowered the benchmark's score
@@ -55,6 +58,29 @@
   pending_since: Seconds
 
 
+class TokenSource(Protocol):
+  """Source of tokens for upstreams that announce a rate limit."""
+
+  def request_tokens(self, upstream: inventory.Upstream, now: Seconds) -> None:
+    """Requests tokens, unless a request is pending or was just denied."""
+
+  def announce(self, upstream: inventory.Upstream, now: Seconds) -> None:
+    """Informs other nodes that an upstream's rate limit has changed."""
+
+
+class _LocalTokenSource:
+  """Allocates tokens to a node that has no peers."""
+
+  def request_tokens(self, upstream: inventory.Upstream, now: Seconds) -> None:
+    limit = upstream.rate_limit
+    if limit.may_request(now):
+      granted, wait_s = limit.allocate(limit.start_request(now), 1.0, now)
+      limit.record_grant(granted, wait_s, now, now)
+
+  def announce(self, upstream: inventory.Upstream, now: Seconds) -> None:
+    del upstream, now
+
+
 class Gateway:
   """Serves requests by the configuration and the upstreams known to the node.
 
@@ -65,6 +91,7 @@
     limit_share: Share of each fleet-wide limit that this node may use.
     send_count: Number of requests sent to upstreams, all attempts included.
     metrics: Metrics of this node.
+    token_source: Source of tokens for upstreams with a rate limit.
   """
 
   def __init__(
@@ -86,6 +113,7 @@
     self.limit_share = 1.0 / node_settings.assumed_nodes
     self.send_count = 0
     self.metrics = metrics.Metrics()
+    self.token_source: TokenSource = _LocalTokenSource()
     self._settings = node_settings
     self._started_at = clock.read_monotonic()
     self._pending: _PendingConfiguration | None = None
@@ -94,12 +122,13 @@
     self._retry_budgets: dict[str, budgets.WindowBudget] = {}
     self._latency_quantiles: dict[str, budgets.LatencyQuantile] = {}
     self._dependencies = fanout.Dependencies(
-      sending.Sender(protocol, tasks),
+      sending.Sender(protocol, tasks, self._record_rate_limit),
       self.upstreams,
       self.rollouts,
       node_settings.zone,
       self._get_retry_budget,
       self._latency_quantiles,
+      lambda upstream, now: self.token_source.request_tokens(upstream, now),
     )
 
   def get_caller_limits(self) -> model.CallerLimits:
@@ -328,6 +357,24 @@
     for reason, count in fan_out.withheld_counts.items():
       self.metrics.record_sends(f"withheld {reason}", count)
 
+  def _record_rate_limit(
+    self,
+    upstream: inventory.Upstream,
+    response: model.UpstreamResponse,
+    now: Seconds,
+  ) -> None:
+    """Applies the rate limit that a response announces, or its end.
+
+    Only a response to a request that ran ends a limit: a refusal may come from
+    a part of the upstream that does not know it.
+    """
+    limit_per_s = response.rate_limit_per_s
+    if limit_per_s is None and (response.did_not_run or not response.seal):
+      return
+    announcement = ratelimits.Announcement(limit_per_s, now)
+    if self.upstreams.apply_announcement(upstream, announcement):
+      self.token_source.announce(upstream, now)
+
   def _get_connection_limit(self, service: str) -> int:
     """Returns how many connections this node may open to an upstream."""
     service_config = self.configuration and self.configuration.services.get(
@@ -372,12 +419,19 @@
   return model.Response(503, retry_after_s=retry_after_s, outcome=outcome)
 
 
+def _make_rate_limit_refusal(fan_out: fanout.FanOut) -> model.Response:
+  wait_s = min(max(RETRY_AFTER_S, fan_out.token_wait_s), MAX_RETRY_AFTER_S)
+  return _make_refusal("rate_limited", round(wait_s, 3))
+
+
 def _make_search_response(
   fan_out: fanout.FanOut, route: model.Route
 ) -> model.Response:
   parts = [shard.part for shard in fan_out.served_shards]
   # Tolerates rounding errors of ``min_coverage``, as ``FanOut`` does.
   if not parts or len(parts) < route.min_coverage * len(fan_out.shards) - 1e-9:
+    if fan_out.token_wait_s:
+      return _make_rate_limit_refusal(fan_out)
     return _make_refusal("coverage_too_small", RETRY_AFTER_S)
   missing = len(fan_out.shards) - len(parts)
   return model.Response(
@@ -399,6 +453,8 @@
   if failed_attempts:
     return _relay_response(failed_attempts[-1].response, "upstream_failed")
   if not shard.may_have_run:
+    if fan_out.token_wait_s:
+      return _make_rate_limit_refusal(fan_out)
     return _make_refusal("not_run", RETRY_AFTER_S)
   if shard.has_pending:
     return model.Response(504, outcome="timed_out")
--- a/packages/gateway/src/bronzefold/gateway/inventory.py
+++ b/packages/gateway/src/bronzefold/gateway/inventory.py
@@ -4,12 +4,15 @@
 
 import collections
 from collections.abc import Callable
+import logging
 
 import attrs
 
+from bronzefold.core import events
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import health
 from bronzefold.gateway import model
+from bronzefold.gateway import ratelimits
 from bronzefold.upstreams import channel
 
 # The platform's limit of 3 s for requests to a leaving upstream, less up to
@@ -18,6 +21,9 @@
 MAX_REPORT_DELAY_S = 2.0  # report period of 1.2 s and watch pause of 0.8 s
 
 
+_logger = logging.getLogger(__name__)
+
+
 @attrs.define(eq=False)
 class Upstream:
   """A registered upstream and this node's observations of it.
@@ -29,8 +35,8 @@
     leaving_since: Monotonic time at which this node was informed that the
       upstream leaves or has left; None while it stays.
     is_replaced: True once another upstream answered at the same address.
-    rate_limit_per_s: Rate limit of its last response; None if it announced
-      none.
+    announcement: The newest announcement of its rate limit.
+    rate_limit: Its rate limit; None while it announces none.
     sent_count: Number of requests that this node has sent to it.
   """
 
@@ -39,7 +45,8 @@
   health: health.Health = attrs.field(factory=health.Health)
   leaving_since: Seconds | None = None
   is_replaced: bool = False
-  rate_limit_per_s: float | None = None
+  announcement: ratelimits.Announcement = ratelimits.Announcement(None, 0.0)
+  rate_limit: ratelimits.RateLimit | None = None
   sent_count: int = 0
 
 
@@ -50,6 +57,7 @@
 
   Attributes:
     evacuated_zones: Availability zones that get no requests.
+    limited_ids: Ids of the upstreams that announce a rate limit.
   """
 
   def __init__(self, get_connection_limit: Callable[[str], int]) -> None:
@@ -60,6 +68,7 @@
         connections this node may open to each of its upstreams.
     """
     self.evacuated_zones: set[str] = set()
+    self.limited_ids: set[str] = set()
     self._get_connection_limit = get_connection_limit
     self._upstreams: dict[str, Upstream] = {}
     self._by_service: dict[str, dict[str, Upstream]] = collections.defaultdict(
@@ -90,6 +99,47 @@
       )
     ]
 
+  def find(self, instance_id: str) -> Upstream | None:
+    """Returns the upstream of an instance; None if it is unknown."""
+    return self._upstreams.get(instance_id)
+
+  def apply_announcement(
+    self, upstream: Upstream, announcement: ratelimits.Announcement
+  ) -> bool:
+    """Applies what an upstream said about its rate limit.
+
+    Args:
+      upstream: The upstream.
+      announcement: The announcement, of a response to this node or to a peer.
+
+    Returns:
+      True if the limit has changed.
+    """
+    previous = upstream.announcement
+    if announcement.observed_at <= previous.observed_at:
+      return False
+    upstream.announcement = announcement
+    limit_per_s = announcement.limit_per_s
+    if limit_per_s == previous.limit_per_s:
+      return False
+    if limit_per_s is None:
+      upstream.rate_limit = None
+      self.limited_ids.discard(upstream.instance.id)
+    elif upstream.rate_limit is None:
+      upstream.rate_limit = ratelimits.RateLimit(limit_per_s)
+      self.limited_ids.add(upstream.instance.id)
+    else:
+      upstream.rate_limit.limit_per_s = limit_per_s
+    events.RATE_LIMIT_CHANGED.log(
+      _logger,
+      instance=upstream.instance.id,
+      service=upstream.instance.service,
+      limit_per_s=limit_per_s,
+      previous_per_s=previous.limit_per_s,
+      sent=upstream.sent_count,
+    )
+    return True
+
   def register(self, instance: model.Instance, now: Seconds) -> bool:
     """Adds an upstream, or updates it by a new registration.
 
@@ -175,6 +225,7 @@
     """Removes an upstream and closes its connections."""
     upstream = self._upstreams.pop(instance_id)
     upstream.pool.close()
+    self.limited_ids.discard(instance_id)
     del self._by_service[upstream.instance.service][instance_id]
 
 
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -6,14 +6,12 @@
 from collections.abc import Callable
 import enum
 import itertools
-import logging
 from typing import Protocol
 
 from anyio import abc
 import attrs
 
 from bronzefold.core import clock
-from bronzefold.core import events
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import inventory
@@ -68,7 +66,6 @@
 
 
 _attempt_numbers = itertools.count()
-_logger = logging.getLogger(__name__)
 
 
 @attrs.define(eq=False)
@@ -101,20 +98,31 @@
 
 
 OnEnd = Callable[[Attempt], None]
+OnResponse = Callable[
+  [inventory.Upstream, model.UpstreamResponse, Seconds], None
+]
 
 
 class Sender:
   """Starts attempts; all requests of a process share one sender."""
 
-  def __init__(self, protocol: UpstreamProtocol, tasks: abc.TaskGroup) -> None:
+  def __init__(
+    self,
+    protocol: UpstreamProtocol,
+    tasks: abc.TaskGroup,
+    on_response: OnResponse,
+  ) -> None:
     """Creates a sender.
 
     Args:
       protocol: Wire format towards upstreams.
       tasks: Task group in which connections are opened.
+      on_response: Called with the upstream, each response of its own and the
+        monotonic time.
     """
     self._protocol = protocol
     self._tasks = tasks
+    self._on_response = on_response
 
   def start(
     self,
@@ -242,7 +250,7 @@
       return
     response = self._protocol.decode_response(completed.result())
     if not response.is_misdirected:
-      _record_rate_limit(attempt.upstream, response.rate_limit_per_s)
+      self._on_response(attempt.upstream, response, now)
     if response.did_not_run:
       self._record_outcome(attempt, Outcome.NOT_RUN, response=response)
       if response.is_misdirected:
@@ -268,21 +276,3 @@
     attempt.response = response
     attempt.error = error
     attempt.upstream.health.in_flight.pop(attempt.number, None)
-
-
-def _record_rate_limit(
-  upstream: inventory.Upstream, rate_limit_per_s: float | None
-) -> None:
-  """Stores and logs the rate limit of a response if it has changed."""
-  previous = upstream.rate_limit_per_s
-  if rate_limit_per_s == previous:
-    return
-  upstream.rate_limit_per_s = rate_limit_per_s
-  events.RATE_LIMIT_CHANGED.log(
-    _logger,
-    instance=upstream.instance.id,
-    service=upstream.instance.service,
-    limit_per_s=rate_limit_per_s,
-    previous_per_s=previous,
-    sent=upstream.sent_count,
-  )
--- a/packages/gateway/src/bronzefold/gateway/topology.py
+++ b/packages/gateway/src/bronzefold/gateway/topology.py
@@ -28,6 +28,8 @@
 # One more than ``_MIN_ENTRY_NODES``, so that a spoke that knows only its
 # neighbours can still name enough entry nodes.
 _HUBS_PER_SPOKE = 4
+# Every hub is linked to every allocator, so this bounds a hub's further links.
+_MAX_ALLOCATORS = 8
 
 
 @attrs.frozen
@@ -39,12 +41,14 @@
     neighbours: Nodes with which this node exchanges heartbeats.
     spokes: The neighbours that receive the store's changes from this node.
     hubs: Names of all hubs.
+    allocators: Names of the hubs that allocate tokens of rate limits.
   """
 
   is_hub: bool
   neighbours: tuple[Member, ...]
   spokes: tuple[Member, ...] = ()
   hubs: frozenset[str] = frozenset()
+  allocators: frozenset[str] = frozenset()
 
 
 def plan_topology(own_member: Member, others: Collection[Member]) -> Topology:
@@ -65,7 +69,9 @@
   all_members = [own_member, *others]
   if len(others) < membership.MAX_FULL_MESH_NODES:
     names = frozenset(member.node for member in all_members)
-    return Topology(is_hub=True, neighbours=tuple(others), hubs=names)
+    return Topology(
+      is_hub=True, neighbours=tuple(others), hubs=names, allocators=names
+    )
   entry_nodes = choose_entry_nodes(all_members)
   hubs = _choose_hubs(all_members)
   linked = _list_linked_members(own_member, others, hubs)
@@ -76,12 +82,16 @@
     for group in (entry_nodes, hubs)
     if own_member in group
   ]
+  allocators = hubs[:_MAX_ALLOCATORS]
+  if own_member in hubs:
+    rings.append(hubs if own_member in allocators else allocators)
   names = {m.node for m in itertools.chain(linked, *rings)}
   return Topology(
     is_hub=own_member in hubs,
     neighbours=tuple(member for member in others if member.node in names),
     spokes=tuple(linked) if own_member in hubs else (),
     hubs=frozenset(member.node for member in hubs),
+    allocators=frozenset(member.node for member in allocators),
   )
 
 
@@ -149,7 +159,7 @@
   """Chooses the largest nodes as hubs; ties are broken by a hash."""
   count = -(-len(members) // _NODES_PER_HUB)
   ordered = sorted(
-    members, key=lambda m: (-m.capacity, _hash_names(m.node, ""), m.node)
+    members, key=lambda m: (-m.capacity, hash_names(m.node, ""), m.node)
   )
   return ordered[:count]
 
@@ -183,12 +193,13 @@
   """
   ranked = sorted(
     hubs,
-    key=lambda hub: (hub.zone != spoke.zone, _hash_names(hub.node, spoke.node)),
+    key=lambda hub: (hub.zone != spoke.zone, hash_names(hub.node, spoke.node)),
   )
   return ranked[:_HUBS_PER_SPOKE]
 
 
-def _hash_names(name: str, other_name: str) -> bytes:
+def hash_names(name: str, other_name: str) -> bytes:
+  """Returns the rank of two names for rendezvous hashing."""
   return hashlib.blake2b(
     f"{name}/{other_name}".encode(), digest_size=8
   ).digest()
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -289,3 +289,54 @@
   service: str
   route: str
   counts: burn.RequestCounts
+
+
+@register_message("rate_limit")
+@attrs.frozen
+class RateLimitNotice:
+  """What an upstream last said about its rate limit, from a gateway node.
+
+  Attributes:
+    upstream: Id of the upstream's instance.
+    limit_per_s: Requests per second that it accepts from all nodes together;
+      None if it announces no limit any more.
+    age_s: Seconds since the response that said so.
+  """
+
+  upstream: str
+  limit_per_s: float | None
+  age_s: float
+
+
+@register_message("token_request")
+@attrs.frozen
+class TokenRequest:
+  """Request for tokens, each of which allows a request to an upstream.
+
+  Attributes:
+    notice: The upstream and its rate limit as the sender knows it.
+    count: Number of tokens wanted.
+    sent_at: The sender's monotonic time.
+  """
+
+  notice: RateLimitNotice
+  count: int
+  sent_at: float
+
+
+@register_message("token_grant")
+@attrs.frozen
+class TokenGrant:
+  """Response to a request for tokens.
+
+  Attributes:
+    notice: The upstream and its rate limit as the sender knows it.
+    count: Number of tokens granted.
+    wait_s: Seconds until the sender has a token, if none was granted.
+    requested_at: ``sent_at`` of the request.
+  """
+
+  notice: RateLimitNotice
+  count: int
+  wait_s: float
+  requested_at: float
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -111,6 +111,8 @@
     behaviour: Name of the behaviour, a key of ``BEHAVIOURS``.
     delay_s: Duration of the execution of a request, in seconds.
     zone: Availability zone.
+    rate_limit: Value of the header in which it announces a rate limit; empty
+      for none.
     port: Port of 127.0.0.1; 0 until it first listens.
     received_requests: All requests that arrived.
     executed_ids: Ids of the requests that it executed.
@@ -128,6 +130,7 @@
   behaviour: str = "serve"
   delay_s: float = 0.002
   zone: str = "a"
+  rate_limit: str = ""
   port: int = 0
   received_requests: list[ReceivedRequest] = attrs.field(factory=list)
   executed_ids: list[str] = attrs.field(factory=list)
@@ -152,6 +155,8 @@
       "Bronzefold-Response-Seal": self.make_seal(request),
       "Bronzefold-Server-Load": "1,0,2",
     }
+    if self.rate_limit:
+      headers["Server-Limit"] = self.rate_limit
     return format_response(status, headers, self.body if body is None else body)
 
   async def serve(
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -376,6 +376,81 @@
     self.assertEqual(explanation.explain_request("nobody", lines), [])
 
 
+class RateLimitTest(SiteTest):
+  """Upstreams announce how many requests they accept from all nodes."""
+
+  WINDOW_S = 4.0  # the platform's limit on requests is for such windows
+  TOLD_AFTER_S = 0.5  # from then on a node must know what it was told
+
+  def setUp(self):
+    super().setUp()
+    self.configure(5, "shop")
+    self.nodes = [self.start_ready(f"n{number}") for number in range(3)]
+    for node in self.nodes:
+      gateways.wait_until(
+        lambda node=node: len(node.resolve_addresses()) == 3, "all nodes"
+      )
+
+  def send_for(self, duration_s):
+    """Sends to all nodes at once; returns the replies.
+
+    Each node gets about 100 requests a second.
+    """
+    replies = []
+    until = time.monotonic() + duration_s
+
+    def send(node):
+      while time.monotonic() < until:
+        replies.append(node.send("/shop/x"))
+        time.sleep(0.01)
+
+    threads = [threading.Thread(target=send, args=(n,)) for n in self.nodes]
+    for thread in threads:
+      thread.start()
+    for thread in threads:
+      thread.join()
+    return replies
+
+  def count_most_in_window(self, upstream, since):
+    """Returns the most requests that arrived in any window."""
+    times = [r.at for r in upstream.received_requests if r.at >= since]
+    return max(
+      sum(start <= at < start + self.WINDOW_S for at in times)
+      for start in times
+    )
+
+  def test_nodes_together_exceed_announced_rate_limit(self):
+    limit_per_s = 10.0
+    self.upstream.rate_limit = str(limit_per_s)
+    started_at = time.monotonic()
+    replies = self.send_for(self.WINDOW_S + 2.0)
+    most = self.count_most_in_window(
+      self.upstream, started_at + self.TOLD_AFTER_S
+    )
+    self.assertLessEqual(most, 1.5 * limit_per_s * self.WINDOW_S + 5)
+    self.assertGreater(most, 0.7 * limit_per_s * self.WINDOW_S)
+    refused = [reply for reply in replies if reply.status == 503]
+    self.assertTrue(refused)
+    self.assertLess(max(reply.took_s for reply in refused), 0.5)
+    self.assertTrue(all("retry-after" in reply.headers for reply in refused))
+
+  def test_other_upstreams_serve_what_a_rate_limit_excludes(self):
+    other = self.site.add_upstream(sites.Upstream("i-b", "shop", b"shop"))
+    for node in self.nodes:
+      node.wait_for_upstreams(other)
+    self.upstream.rate_limit = "2"
+    self.assertEqual({r.status for r in self.send_for(3.0)}, {200})
+
+  def test_rate_limit_outlives_its_announcement(self):
+    self.upstream.rate_limit = "2"
+    self.send_for(1.0)
+    self.upstream.rate_limit = ""
+    time.sleep(1.0)
+    self.nodes[0].send("/shop/x")
+    time.sleep(0.5)
+    self.assertEqual({r.status for r in self.send_for(1.0)}, {200})
+
+
 class SettingsTest(unittest.TestCase):
   """A settings file that can't be read."""
 
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -101,7 +101,7 @@
 
   def choose(self, now=10.0, excluded=()):
     chosen = selection.choose_upstream(
-      [self.near, self.far], excluded, "a", now
+      [self.near, self.far], excluded, "a", lambda *_: None, now
     )
     return chosen and chosen.instance.id
 
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -50,7 +50,9 @@
     """Sends a request and abandons it; returns the ended attempt."""
     ended = anyio.Event()
     async with anyio.create_task_group() as tasks:
-      sender = sending.Sender(upstreams.UpstreamProtocol(), tasks)
+      sender = sending.Sender(
+        upstreams.UpstreamProtocol(), tasks, lambda *_: None
+      )
       now = clock.read_monotonic()
       attempt = sender.start(
         make_request(now), self.upstream, 5.0, now, lambda _: ended.set()
