--- a/packages/gateway/src/bronzefold/gateway/ratelimits.py
+++ b/packages/gateway/src/bronzefold/gateway/ratelimits.py
@@ -81,10 +81,10 @@
 
   def release(self, count: int, now: Seconds) -> int:
     """Gives up to ``count`` tokens to another node; returns their number."""
-    available = itertools.takewhile(self.has_token, itertools.repeat(now))
-    released = sum(1 for _ in itertools.islice(available, count))
-    for _ in range(released):
+    released = 0
+    while released < count and self.has_token(now):
       self.spend(now)
+      released += 1
     return released
 
   def may_request(self, now: Seconds) -> bool:
