Log an error in the handler of a peer's message instead of exiting

The query nodes already log such an error as task_failed and go on; gateway nodes now do the same. A failed assertion still ends the process.

--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import faulthandler
+import functools
 import gc
 import logging
 import signal
@@ -150,7 +151,8 @@
     events.NODE_STOPPED.log(_logger, node=self._settings.node)
 
   async def _handle_message(self, sender: str, message: Any) -> None:
-    await self._fleet.handle_message(sender, message)
+    handle = functools.partial(self._fleet.handle_message, sender, message)
+    await supervision.run_guarded(handle)
 
   async def _handle_signals(self) -> None:
     with anyio.open_signal_receiver(
