Let the owner of an upstream keep to the rate limit it announces

The owner bounds the requests in progress, so an upstream that answers quickly got any rate: 61 requests at once where 10 a second were announced (tests.test_executor.RateLimitTest.test_owner_exceeds_announced_rate_limit, which failed before and passes now).

Change: upstreams may announce x-rate-limit in a reply. The owner is the only sender, so it takes the whole limit from a token bucket; requests whose turn comes after their deadline are refused as overloaded at once.

--- a/packages/upstreams/src/bronzefold/upstreams/connection.py
+++ b/packages/upstreams/src/bronzefold/upstreams/connection.py
@@ -44,12 +44,15 @@
     body: Body of the response.
     took_s: Time from sending the request to the complete response, in
       seconds.
+    rate_limit_per_s: Requests per second that the upstream accepts; None if it
+      announces no limit.
   """
 
   instance: str
   status: int
   body: bytes
   took_s: clock.Seconds
+  rate_limit_per_s: float | None = None
 
 
 class UpstreamConnection:
@@ -239,4 +242,9 @@
       )
     instance = headers.get(messages.INSTANCE_HEADER, b"").decode()
     took_s = clock.read_monotonic() - started_at
-    return Ok(Response(instance, response.status, body, took_s))
+    rate_limit_per_s = messages.read_rate_limit(
+      headers.get(messages.RATE_LIMIT_HEADER)
+    )
+    return Ok(
+      Response(instance, response.status, body, took_s, rate_limit_per_s)
+    )
--- a/packages/upstreams/src/bronzefold/upstreams/executor.py
+++ b/packages/upstreams/src/bronzefold/upstreams/executor.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import logging
+import math
 import random
 
 import anyio
@@ -11,9 +13,11 @@
 from expression import Result
 import msgspec
 
+from bronzefold.core import budgets
 from bronzefold.core import clock
 from bronzefold.core import defaults
 from bronzefold.core import documents
+from bronzefold.core import events
 from bronzefold.core import exceptions
 from bronzefold.core import ranges
 from bronzefold.upstreams import connection
@@ -27,6 +31,10 @@
 _MIN_TIME_LEFT_LATENCY_FACTOR = 0.8
 _FAILURE_LATENCY_FACTOR = 10.0
 _STRAGGLER_LATENCY_FACTOR = 3.0
+# Responses announce the end of a rate limit, so some requests must be sent.
+_MIN_RATE_PER_S = 0.25
+
+_logger = logging.getLogger(__name__)
 
 
 @attrs.frozen
@@ -104,6 +112,8 @@
     self._scope = anyio.CancelScope()
     self._closing = False
     self._usable = True
+    self._rate_limit_per_s: float | None = None
+    self._token_bucket: budgets.TokenBucket | None = None
     self.in_progress = 0
     self.most_in_progress = 0
     self.sent = 0
@@ -280,7 +290,10 @@
   def _estimate_wait(self, job: queue.Job) -> clock.Seconds:
     latency_s = self._ramp.baseline_s or 0.0
     ahead = self._queue.count_ahead(job.priority, job.deadline)
-    return latency_s * (1 + ahead / self._ramp.limit)
+    wait_s = latency_s * (1 + ahead / self._ramp.limit)
+    if self._rate_limit_per_s is not None:
+      wait_s = max(wait_s, latency_s + ahead / self._rate_limit_per_s)
+    return wait_s
 
   def _notify(self) -> None:
     self._state_changed.set()
@@ -288,16 +301,23 @@
 
   async def _wait_for_job(self) -> queue.Job:
     while True:
-      if self.in_progress < self._ramp.limit:
+      now = clock.read_monotonic()
+      token_wait_s = (
+        self._token_bucket.get_wait(now) if self._token_bucket else 0.0
+      )
+      if self.in_progress < self._ramp.limit and token_wait_s <= 0.0:
         # Requests that are likely to reach their deadline before the response
         # arrives are not sent.
         min_left_s = (
           self._ramp.baseline_s or 0.0
         ) * _MIN_TIME_LEFT_LATENCY_FACTOR
-        job = self._queue.pop(clock.read_monotonic() + min_left_s)
+        job = self._queue.pop(now + min_left_s)
         if job is not None:
+          if self._token_bucket is not None:
+            self._token_bucket.take(1, now)
           return job
-      await self._state_changed.wait()
+      with anyio.move_on_after(token_wait_s or math.inf):
+        await self._state_changed.wait()
 
   async def _run_worker(self) -> None:
     conn = connection.UpstreamConnection(self.entry.address)
@@ -404,6 +424,7 @@
       self._consecutive_failures = 0
       self._ramp.confirm_instance(outcome.ok.instance, now)
       self._ramp.record_success(outcome.ok.took_s, now)
+      self._set_rate_limit(outcome.ok.rate_limit_per_s, now)
       return
     match outcome.error:
       case exceptions.UpstreamDrainingError():
@@ -417,6 +438,32 @@
       case exceptions.TimedOutError() if self._is_long_timeout(budget_s):
         self._consecutive_failures += 1
 
+  def _set_rate_limit(
+    self, rate_limit_per_s: float | None, now: clock.Seconds
+  ) -> None:
+    """Applies the rate limit of a response, or the end of one.
+
+    The owner alone sends to the upstream, so it uses the whole limit.
+    """
+    if rate_limit_per_s is not None:
+      rate_limit_per_s = max(_MIN_RATE_PER_S, rate_limit_per_s)
+    if rate_limit_per_s == self._rate_limit_per_s:
+      return
+    self._rate_limit_per_s = rate_limit_per_s
+    if rate_limit_per_s is None:
+      self._token_bucket = None
+    else:
+      self._token_bucket = self._token_bucket or budgets.TokenBucket(now)
+      self._token_bucket.set_rate(rate_limit_per_s, 1.0, now)
+    events.RATE_LIMIT_CHANGED.log(
+      _logger,
+      instance=self._ramp.instance,
+      service=self.service,
+      limit_per_s=rate_limit_per_s,
+      sent=self.sent,
+    )
+    self._notify()
+
   def _is_long_timeout(self, budget_s: clock.Seconds) -> bool:
     """Returns True if a timeout after this budget counts as a failure.
 
--- a/packages/upstreams/src/bronzefold/upstreams/messages.py
+++ b/packages/upstreams/src/bronzefold/upstreams/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 import msgspec
 
@@ -9,10 +11,28 @@
 INSTANCE_HEADER = b"x-instance"
 NOT_RUN_HEADER = b"x-not-run"
 DRAINING_HEADER = b"x-draining"
+RATE_LIMIT_HEADER = b"x-rate-limit"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 DEADLINE_HEADER = b"x-deadline-ms"
 
 
+def read_rate_limit(value: bytes | None) -> float | None:
+  """Reads a rate limit in requests per second from a header's value.
+
+  Args:
+    value: The value; None if the header is absent.
+
+  Returns:
+    The limit; None if it is absent or not a rate.
+  """
+  try:
+    rate_limit_per_s = float(value) if value is not None else math.nan
+  except ValueError:
+    return None
+  is_rate = math.isfinite(rate_limit_per_s) and rate_limit_per_s >= 0.0
+  return rate_limit_per_s if is_rate else None
+
+
 @attrs.frozen
 class SnapshotReport:
   """A snapshot that an upstream serves, as it reports it.
