Log the store's era, listings and ignored entries

The log could not distinguish two hypotheses on the CONFIG incident: entries ignored as old, or a watch that continues in another history. The era that a response names is decoded, and each listing logs era, revision and the replica's position.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -212,6 +212,18 @@
   logging.INFO,
   "This node now allocates the requests to an upstream with a rate limit.",
 )
+STORE_LISTED = _register(
+  714,
+  "store_listed",
+  logging.INFO,
+  "All keys of the store were read.",
+)
+CHANGES_IGNORED = _register(
+  715,
+  "changes_ignored",
+  logging.WARNING,
+  "Entries were ignored because this node has newer ones.",
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- a/packages/gateway/src/bronzefold/gateway/replica.py
+++ b/packages/gateway/src/bronzefold/gateway/replica.py
@@ -85,6 +85,13 @@
       listing: All entries; known keys that it lacks count as removed.
       now: Monotonic time.
     """
+    events.STORE_LISTED.log(
+      _logger,
+      era=listing.era,
+      revision=listing.revision,
+      known_revision=self.revision,
+      entries=len(listing.entries),
+    )
     if not self.revision:
       # Removals before the first listing are unknown.
       self._expired_revision = listing.revision
@@ -107,9 +114,20 @@
       now: Monotonic time.
     """
     previous_revision = self.effective_revision
+    ignored: list[store.Entry] = []
     for entry in entries:
       if entry.revision > self._get_revision(entry.key):
         self._store_entry(entry, now)
+      elif self._differs(entry):
+        ignored.append(entry)
+    if ignored:
+      events.CHANGES_IGNORED.log(
+        _logger,
+        count=len(ignored),
+        key=ignored[0].key,
+        revision=ignored[0].revision,
+        known_revision=self._get_revision(ignored[0].key),
+      )
     self.revision = max(self.revision, revision)
     self._gateway.apply_pending_configuration(now)
     if self.effective_revision > previous_revision:
@@ -167,6 +185,11 @@
       revision = self._removals.pop(key).revision
       self._expired_revision = max(self._expired_revision, revision)
 
+  def _differs(self, entry: store.Entry) -> bool:
+    """True if an entry has another value than the one that is known."""
+    known = self._entries.get(entry.key)
+    return entry.value != (known.value if known else None)
+
   def _get_revision(self, key: str) -> int:
     """Returns the revision of a key's last change; 0 if it is unknown."""
     last_change = self._entries.get(key) or self._removals.get(key)
--- a/packages/store/src/bronzefold/store/client.py
+++ b/packages/store/src/bronzefold/store/client.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 import uuid
 
 import anyio
+import attrs
 import httpcore
 
 from bronzefold.core import defaults
@@ -85,11 +87,12 @@
     for _ in range(_MAX_PAGES):
       after = entries[-1].key if entries else ""
       call = self._dialect.make_list(prefix, after)
-      page = self._dialect.read_listing((await self._call(call)).body)
+      response = await self._call(call)
+      page = self._dialect.read_listing(response.body)
       entries.extend(page.entries)
       revision = page.revision if revision is None else revision
       if not page.more or not page.entries:
-        return messages.Listing(revision, tuple(entries))
+        return messages.Listing(revision, tuple(entries), era=response.era)
     raise exceptions.StoreError(
       f"prefix {prefix!r} has over {_MAX_PAGES} pages"
     )
@@ -162,7 +165,8 @@
     )
     if response.status == self._dialect.history_gone_status:
       raise exceptions.HistoryGoneError(f"no history after revision {after}")
-    return self._dialect.read_changes(response.body)
+    changes = self._dialect.read_changes(response.body)
+    return attrs.evolve(changes, era=response.era)
 
   async def create_lease(self, ttl_s: float) -> messages.Lease:
     """Creates a lease.
@@ -228,7 +232,15 @@
       )
     if response.status == 400:
       raise exceptions.StoreError(response.content.decode(errors="replace"))
-    return messages.Response(response.status, response.content)
+    return messages.Response(
+      response.status, response.content, self._read_era(response.headers)
+    )
+
+  def _read_era(self, headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Returns the era that a response names; 0 if it names none."""
+    name = self._dialect.era_header
+    value = next((v for key, v in headers if key.lower() == name), b"")
+    return int(value) if value.isdigit() else 0
 
   def _raise_on_conflict(self, response: messages.Response, key: str) -> None:
     if response.status != self._dialect.conflict_status:
--- a/packages/store/src/bronzefold/store/dialect.py
+++ b/packages/store/src/bronzefold/store/dialect.py
@@ -31,10 +31,12 @@
     conflict_status: HTTP status when the condition of a write does not hold.
     history_gone_status: HTTP status when the store no longer has the changes
       that a watch asks for.
+    era_header: Name of the header with the store's era, in lower case.
   """
 
   conflict_status: int
   history_gone_status: int
+  era_header: bytes
 
   def make_get(self, key: str) -> messages.Call:
     """Returns a call that reads a key."""
@@ -120,6 +122,7 @@
 
   conflict_status = 409
   history_gone_status = 410
+  era_header = b"x-store-era"
 
   def make_get(self, key: str) -> messages.Call:
     """Returns a call that reads a key."""
--- a/packages/store/src/bronzefold/store/messages.py
+++ b/packages/store/src/bronzefold/store/messages.py
@@ -28,11 +28,14 @@
     revision: Revision of the store up to which the entries are current.
     entries: The entries.
     more: True if further pages follow.
+    era: Number of times that the store was restored from a copy before it sent
+      the entries.
   """
 
   revision: int
   entries: tuple[Entry, ...]
   more: bool = False
+  era: int = 0
 
 
 @attrs.frozen
@@ -98,7 +101,9 @@
   Attributes:
     status: HTTP status, below 500.
     body: Body, JSON.
+    era: Number of times that the store was restored from a copy.
   """
 
   status: int
   body: bytes
+  era: int = 0
