Order revisions and leases across restores of the store

Cause: revisions go back and are given out again, but a position in one history was used in the next. Nodes kept watching after revision 62 of era 1; the operator's write got 62 of era 2, so no watch returned it. Class: a counter used beyond the epoch that it belongs to. Leases have it too: a lost lease's number goes to another node, whose registration the former holder then renews or ends.

Change: the client puts the era that each response names above the revision, so that all later ones are greater, and refuses to use a revision or a lease of an earlier era. A replica keeps what it knows for 2.5 s after a restore, unless an entry is certainly newer, and then reads everything again; what is still missing is gone. An order that is written again goes on, and a lost final record of a rollout is written again by its nodes.

--- a/packages/gateway/src/bronzefold/gateway/follower.py
+++ b/packages/gateway/src/bronzefold/gateway/follower.py
@@ -18,6 +18,9 @@
 from bronzefold.peers import membership
 
 WATCH_WAIT_S = 5.0  # rarely reached, since upstreams report more often
+# After a failure, the next watch returns at once, since its response tells
+# whether the store was restored.
+PROBE_WAIT_S = 0.01
 WATCH_PAUSE_S = 0.8  # each call has a cost; drains must be known within 3 s
 RETRY_PAUSE_S = 0.25  # four calls a second during an outage of the store
 LEASE_TTL_S = 4.0  # three renewals
@@ -64,6 +67,7 @@
     about every 1.2 s; the pause between watches
     batches many reports into one call.
     """
+    wait_s = WATCH_WAIT_S
     while True:
       if self._replica.revision and self._is_updated_by_hubs(
         clock.read_monotonic()
@@ -72,14 +76,18 @@
         await anyio.sleep(HUB_CHECK_PERIOD_S)
         continue
       try:
-        if not self._replica.revision:
+        if not self._replica.revision or self._replica.needs_listing(
+          clock.read_monotonic()
+        ):
           await self._read_all()
-        await self._read_changes()
+        await self._read_changes(wait_s)
+        wait_s = WATCH_WAIT_S
       except exceptions.HistoryGoneError as error:
         events.HISTORY_GONE.log(_logger, reason=error.detail)
         await self._try_read_all()
       except exceptions.StoreError as error:
         self._record_store_failure(error)
+        wait_s = PROBE_WAIT_S
         await anyio.sleep(RETRY_PAUSE_S)
         continue
       await anyio.sleep(WATCH_PAUSE_S)
@@ -122,9 +130,9 @@
     self._record_store_reply(asked_at)
     self._replica.apply_listing(listing, clock.read_monotonic())
 
-  async def _read_changes(self) -> None:
+  async def _read_changes(self, wait_s: Seconds) -> None:
     asked_at = clock.read_monotonic()
-    listing = await self._client.watch("", self._replica.revision, WATCH_WAIT_S)
+    listing = await self._client.watch("", self._replica.revision, wait_s)
     self._record_store_reply(asked_at)
     now = clock.read_monotonic()
     self._replica.apply_changes(listing.entries, listing.revision, now)
--- a/packages/gateway/src/bronzefold/gateway/replica.py
+++ b/packages/gateway/src/bronzefold/gateway/replica.py
@@ -20,6 +20,9 @@
 
 NODE_PREFIX = "bronzefold/nodes/"
 REMOVED_RETENTION_S = 30.0  # for removed entries and upstreams
+# Operators and upstreams write lost entries again within 2 s of the store's
+# return; the rest is a margin for a late first read.
+RESTORE_GRACE_S = 2.5
 
 _logger = logging.getLogger(__name__)
 
@@ -77,10 +80,21 @@
     self._removals: dict[str, _Removal] = {}
     self._effective_revisions: dict[str, int] = {}
     self._expired_revision = 0
+    self._restore_grace_until: Seconds | None = None
+
+  def needs_listing(self, now: Seconds) -> bool:
+    """True once all entries must be read again after the store was restored."""
+    until = self._restore_grace_until
+    return until is not None and now >= until
 
   def apply_listing(self, listing: store.Listing, now: Seconds) -> None:
     """Applies a listing of all entries of the store.
 
+    The first listing after the store was restored from a copy may lack entries
+    or have old ones that are about to be written again. Until another listing,
+    after ``RESTORE_GRACE_S``, what this node knows stays in force, unless an
+    entry is certainly newer.
+
     Args:
       listing: All entries; known keys that it lacks count as removed.
       now: Monotonic time.
@@ -92,9 +106,38 @@
       known_revision=self.revision,
       entries=len(listing.entries),
     )
+    is_restored = store.eras.get_era(listing.revision) > store.eras.get_era(
+      self.revision
+    )
+    if self.revision and is_restored:
+      self._restore_grace_until = now + RESTORE_GRACE_S
+      certain = [
+        entry for entry in listing.entries if self._is_certainly_newer(entry)
+      ]
+      self.apply_changes(certain, listing.revision, now)
+      return
     if not self.revision:
       # Removals before the first listing are unknown.
       self._expired_revision = listing.revision
+    elif self._restore_grace_until is not None:
+      # Other nodes may know lost entries that this node never had.
+      self._expired_revision = listing.revision
+      self.effective_revision = listing.revision
+    self._restore_grace_until = None
+    self._apply_whole_listing(listing, now)
+
+  def _is_certainly_newer(self, entry: store.Entry) -> bool:
+    """True unless an entry of a restored store may be older than known ones."""
+    known_revision = self._get_revision(entry.key)
+    number = store.eras.get_number(entry.revision)
+    return (
+      not known_revision
+      or not self._differs(entry)
+      or number > store.eras.get_number(self.revision)
+    )
+
+  def _apply_whole_listing(self, listing: store.Listing, now: Seconds) -> None:
+    """Applies a listing; known keys that it lacks count as removed."""
     present = {entry.key for entry in listing.entries}
     removed = [
       store.Entry(key, None, listing.revision)
@@ -169,7 +212,10 @@
       now: Monotonic time.
     """
     if message.is_whole:
-      self.apply_listing(store.Listing(message.revision, message.entries), now)
+      listing = store.Listing(message.revision, message.entries)
+      if not self.revision:
+        self._expired_revision = listing.revision
+      self._apply_whole_listing(listing, now)
     else:
       self.apply_changes(message.entries, message.revision, now)
 
--- a/packages/gateway/src/bronzefold/gateway/rollouts.py
+++ b/packages/gateway/src/bronzefold/gateway/rollouts.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bronzefold import store
 from bronzefold.core import budgets
 from bronzefold.core import events
 from bronzefold.core import evidence
@@ -82,6 +83,8 @@
     baselines: Latency quantiles of the other versions, by route.
     regression: Why the version is worse than the others; empty if it is not.
     regressed_at: Monotonic time at which the regression was detected.
+    final_state: State of the order's first final record. A store that is
+      restored may lose the record, which is then written again.
     canary_credit: Sum of the new version's shares of the requests so far, less
       the requests sent to it; it gets one at 1.
   """
@@ -92,6 +95,7 @@
   baselines: dict[str, budgets.LatencyQuantile] = attrs.field(factory=dict)
   regression: str = ""
   regressed_at: Seconds = 0.0
+  final_state: RolloutState | None = None
   canary_credit: float = 0.0
 
 
@@ -136,6 +140,8 @@
   def set_order(self, order: RolloutOrder, now: Seconds) -> bool:
     """Starts the rollout of an order.
 
+    The same order written again after the store was restored changes nothing.
+
     Args:
       order: The order.
       now: Monotonic time.
@@ -144,9 +150,13 @@
       True if the order is newer than the one in force.
     """
     current = self._rollouts.get(order.service)
-    if current is not None and current.order.revision >= order.revision:
+    if current is not None and (
+      current.order.revision >= order.revision
+      or _is_rewritten(current.order, order)
+    ):
       return False
     self._rollouts[order.service] = Rollout(order, now)
+    self._record_final_state(order.service)
     return True
 
   def cancel_order(self, service: str) -> bool:
@@ -159,6 +169,7 @@
     if current is not None and current.revision >= record.revision:
       return False
     self._records[record.service] = record
+    self._record_final_state(record.service)
     return True
 
   def remove_record(self, service: str) -> bool:
@@ -177,9 +188,8 @@
     rollout = self._rollouts.get(service)
     if rollout is None:
       return None
-    record = self._get_record(rollout)
-    if record is not None and record.state is not RolloutState.RUNNING:
-      return record.state
+    if rollout.final_state is not None:
+      return rollout.final_state
     return (
       RolloutState.ROLLED_BACK if rollout.regression else RolloutState.RUNNING
     )
@@ -313,7 +323,10 @@
     if record is not None and record.state is not RolloutState.RUNNING:
       return None
     elapsed_since_turn_s = now - rollout.order_received_at - wait_s
-    if rollout.regression:
+    if rollout.final_state is not None:
+      is_due = elapsed_since_turn_s >= 0.0
+      state = rollout.final_state
+    elif rollout.regression:
       is_due = now - rollout.regressed_at >= wait_s
       state = RolloutState.ROLLED_BACK
     elif elapsed_since_turn_s >= _compute_finish_delay(rollout.order):
@@ -331,6 +344,13 @@
       service, rollout.order.version, state, replaced_revision
     )
 
+  def _record_final_state(self, service: str) -> None:
+    """Keeps the state of a final record for as long as its order stands."""
+    rollout = self._rollouts.get(service)
+    record = self._get_record(rollout) if rollout is not None else None
+    if record is not None and record.state is not RolloutState.RUNNING:
+      rollout.final_state = rollout.final_state or record.state
+
   def _get_record(self, rollout: Rollout) -> RolloutRecord | None:
     """Returns the record of a rollout's order; None if there is none."""
     record = self._records.get(rollout.order.service)
@@ -367,6 +387,15 @@
       )
 
 
+def _is_rewritten(current: RolloutOrder, order: RolloutOrder) -> bool:
+  """True if an order equals one from before the store was restored."""
+  return attrs.evolve(
+    current, revision=order.revision
+  ) == order and store.eras.get_era(current.revision) < store.eras.get_era(
+    order.revision
+  )
+
+
 def compute_new_version_share(rollout: Rollout, now: Seconds) -> float:
   """Computes the new version's share of requests in a running rollout."""
   shift_delay_s = _compute_shift_delay(rollout.order)
--- a/packages/store/src/bronzefold/store/__init__.py
+++ b/packages/store/src/bronzefold/store/__init__.py
@@ -1,5 +1,6 @@
 """Client of the key-value store."""
 
+from bronzefold.store import eras
 from bronzefold.store import keys
 from bronzefold.store.client import StoreClient
 from bronzefold.store.dialect import DefaultDialect
@@ -21,5 +22,6 @@
   "StoreClient",
   "VmEntry",
   "VmList",
+  "eras",
   "keys",
 ]
--- a/packages/store/src/bronzefold/store/client.py
+++ b/packages/store/src/bronzefold/store/client.py
@@ -13,6 +13,7 @@
 from bronzefold.core import defaults
 from bronzefold.core import exceptions
 from bronzefold.store import dialect as dialects
+from bronzefold.store import eras
 from bronzefold.store import messages
 
 _WATCH_TIMEOUT_MARGIN_S = 2.0
@@ -27,8 +28,11 @@
   Every method raises ``StoreUnavailableError`` if the store did not respond or
   could not serve the call. A write that fails this way may have taken effect.
 
+  Revisions contain the store's era, see ``eras``.
+
   Attributes:
     calls: Count of the calls made so far.
+    era: Highest era that a response has named.
   """
 
   def __init__(
@@ -53,6 +57,8 @@
       max_connections=16, keepalive_expiry=30.0
     )
     self.calls = 0
+    self.era = 0
+    self._lease_eras: dict[int, int] = {}
 
   async def close(self) -> None:
     """Closes all connections."""
@@ -67,7 +73,7 @@
     response = await self._call(self._dialect.make_get(key))
     if response.status == 404:
       return None
-    return self._dialect.read_entry(response.body)
+    return _join_entry(self._dialect.read_entry(response.body), response.era)
 
   async def list_prefix(self, prefix: str) -> messages.Listing:
     """Returns the entries whose keys start with ``prefix``.
@@ -83,16 +89,22 @@
       StoreError: The listing has too many pages.
     """
     entries: list[messages.Entry] = []
-    revision = None
+    first: messages.Listing | None = None
     for _ in range(_MAX_PAGES):
       after = entries[-1].key if entries else ""
       call = self._dialect.make_list(prefix, after)
       response = await self._call(call)
-      page = self._dialect.read_listing(response.body)
+      page = _join_listing(
+        self._dialect.read_listing(response.body), response.era
+      )
+      first = first or page
+      if page.era != first.era:
+        raise exceptions.StoreUnavailableError(
+          f"the store was restored while {prefix!r} was listed"
+        )
       entries.extend(page.entries)
-      revision = page.revision if revision is None else revision
       if not page.more or not page.entries:
-        return messages.Listing(revision, tuple(entries), era=response.era)
+        return attrs.evolve(first, entries=tuple(entries), more=False)
     raise exceptions.StoreError(
       f"prefix {prefix!r} has over {_MAX_PAGES} pages"
     )
@@ -119,13 +131,21 @@
       ConflictError: The key has another revision.
       LeaseLapsedError: The lease does not exist.
     """
+    await self._check_expected_revision(key, expected_revision)
+    self._check_lease(lease, self.era)
     response = await self._call(
-      self._dialect.make_put(key, value, expected_revision, lease)
+      self._dialect.make_put(
+        key,
+        value,
+        eras.get_number(expected_revision),
+        lease,
+      )
     )
     self._raise_on_conflict(response, key)
     if response.status == dialects.LEASE_GONE_STATUS:
       raise exceptions.LeaseLapsedError(f"lease {lease} does not exist")
-    return self._dialect.read_revision(response.body)
+    self._check_lease(lease, response.era)
+    return eras.join(response.era, self._dialect.read_revision(response.body))
 
   async def delete(self, key: str, expected_revision: int) -> None:
     """Deletes a key if its revision is the expected one.
@@ -137,8 +157,9 @@
     Raises:
       ConflictError: The key has another revision or does not exist.
     """
+    await self._check_expected_revision(key, expected_revision)
     response = await self._call(
-      self._dialect.make_delete(key, expected_revision)
+      self._dialect.make_delete(key, eras.get_number(expected_revision))
     )
     self._raise_on_conflict(response, key)
 
@@ -157,16 +178,25 @@
       Deleted keys have the value None.
 
     Raises:
-      HistoryGoneError: The store no longer has all changes since ``after``.
+      HistoryGoneError: The store no longer has all changes since ``after``, or
+        it was restored since.
     """
-    call = self._dialect.make_watch(prefix, after, wait_s)
+    after_number = eras.get_number(after)
+    call = self._dialect.make_watch(prefix, after_number, wait_s)
     response = await self._call(
       call, timeout_s=wait_s + _WATCH_TIMEOUT_MARGIN_S
     )
     if response.status == self._dialect.history_gone_status:
-      raise exceptions.HistoryGoneError(f"no history after revision {after}")
+      raise exceptions.HistoryGoneError(
+        f"no history after revision {after_number}"
+      )
+    if response.era != eras.get_era(after):
+      raise exceptions.HistoryGoneError(
+        f"revision {after_number} is of era {eras.get_era(after)}, the store "
+        f"is in era {response.era}"
+      )
     changes = self._dialect.read_changes(response.body)
-    return attrs.evolve(changes, era=response.era)
+    return _join_listing(changes, response.era)
 
   async def create_lease(self, ttl_s: float) -> messages.Lease:
     """Creates a lease.
@@ -175,7 +205,9 @@
       ttl_s: Time from the last renewal until the lease lapses, in seconds.
     """
     response = await self._call(self._dialect.make_lease(ttl_s))
-    return self._dialect.read_lease(response.body)
+    lease = self._dialect.read_lease(response.body)
+    self._lease_eras[lease.lease] = response.era
+    return lease
 
   async def renew_lease(self, lease: int) -> None:
     """Renews a lease.
@@ -186,16 +218,22 @@
     Raises:
       LeaseLapsedError: The lease does not exist.
     """
+    self._check_lease(lease, self.era)
     response = await self._call(self._dialect.make_renewal(lease))
     if response.status == dialects.LEASE_GONE_STATUS:
       raise exceptions.LeaseLapsedError(f"lease {lease} does not exist")
+    self._check_lease(lease, response.era)
 
   async def revoke_lease(self, lease: int) -> None:
     """Ends a lease; the store deletes the keys attached to it.
 
     Args:
       lease: Number of the lease.
+
+    Raises:
+      LeaseLapsedError: The lease ended when the store was restored.
     """
+    self._check_lease(lease, self.era)
     await self._call(self._dialect.make_revocation(lease))
 
   async def list_vms(self) -> messages.VmList:
@@ -232,20 +270,52 @@
       )
     if response.status == 400:
       raise exceptions.StoreError(response.content.decode(errors="replace"))
-    return messages.Response(
-      response.status, response.content, self._read_era(response.headers)
+    era = self._read_era(response.headers)
+    if era < self.era:
+      raise exceptions.StoreUnavailableError(
+        f"{operation}: response of era {era} after one of era {self.era}"
+      )
+    self.era = era
+    return messages.Response(response.status, response.content, era)
+
+  def _check_lease(self, lease: int | None, era: int) -> None:
+    """Raises ``LeaseLapsedError`` for a lease from before the store's era.
+
+    The store may have given its number to another node since.
+    """
+    if lease is not None and self._lease_eras.get(lease, era) != era:
+      raise exceptions.LeaseLapsedError(
+        f"lease {lease} ended with era {self._lease_eras[lease]}"
+      )
+
+  async def _check_expected_revision(self, key: str, expected: int) -> None:
+    """Raises ``ConflictError`` for a revision from before a restore.
+
+    The store may have given the same revision to another value of the key.
+    """
+    if not expected or eras.get_era(expected) == self.era:
+      return
+    current = await self.get(key) or messages.Entry(key, None, 0)
+    if eras.get_era(expected) == self.era:
+      return
+    raise exceptions.ConflictError(
+      f"the store was restored since revision {expected} of key {key}",
+      current.revision,
+      (current.value or "").encode(),
     )
 
   def _read_era(self, headers: Iterable[tuple[bytes, bytes]]) -> int:
-    """Returns the era that a response names; 0 if it names none."""
+    """Returns the era that a response names; the last one if it names none."""
     name = self._dialect.era_header
     value = next((v for key, v in headers if key.lower() == name), b"")
-    return int(value) if value.isdigit() else 0
+    return int(value) if value.isdigit() else self.era
 
   def _raise_on_conflict(self, response: messages.Response, key: str) -> None:
     if response.status != self._dialect.conflict_status:
       return
-    current = self._dialect.read_conflict(key, response.body)
+    current = _join_entry(
+      self._dialect.read_conflict(key, response.body), response.era
+    )
     raise exceptions.ConflictError(
       f"key {key} has revision {current.revision}",
       current.revision,
@@ -253,6 +323,21 @@
     )
 
 
+def _join_entry(entry: messages.Entry, era: int) -> messages.Entry:
+  """Adds the era to an entry's revision; an absent key keeps revision 0."""
+  revision = eras.join(era, entry.revision) if entry.revision else 0
+  return attrs.evolve(entry, revision=revision)
+
+
+def _join_listing(listing: messages.Listing, era: int) -> messages.Listing:
+  return attrs.evolve(
+    listing,
+    revision=eras.join(era, listing.revision),
+    entries=tuple(_join_entry(entry, era) for entry in listing.entries),
+    era=era,
+  )
+
+
 _TRANSPORT_ERRORS = (
   TimeoutError,
   OSError,
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -12,7 +12,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
-import itertools
 import json
 import threading
 import time
@@ -287,17 +286,36 @@
   return UpstreamOutput(upstream.make_response(request) * 2)
 
 
+@attrs.frozen
+class StoreCopy:
+  """State of a store at one moment.
+
+  Attributes:
+    revision: Its revision.
+    items: Its items by key.
+    leases: Its leases by number.
+    last_lease: Number of the last lease that was created.
+  """
+
+  revision: int
+  items: dict[str, dict[str, Any]]
+  leases: dict[int, tuple[float, float]]
+  last_lease: int
+
+
 class Store:
   """Store of the users' platform: keys, leases and history.
 
   Attributes:
     mode: "up"; "down" (503); "silent" (no response); "lose" (calls are executed
       and the connection closes without a response).
+    era: Number of times that it was restored, which its responses name.
     calls: Count of calls by name of the operation, such as "kv-watch".
   """
 
   def __init__(self) -> None:
     self.mode = "up"
+    self.era = 1
     self.calls: collections.Counter[str] = collections.Counter()
     self._revision = 10
     self._items: dict[str, dict[str, Any]] = {}
@@ -305,7 +323,7 @@
       maxlen=_STORE_HISTORY_CHANGES
     )
     self._leases: dict[int, tuple[float, float]] = {}
-    self._lease_ids = itertools.count(1)
+    self._last_lease = 0
     self._change_event = asyncio.Event()
     self._oldest_revision = 0
 
@@ -350,6 +368,21 @@
     """Lists the keys of a prefix in order."""
     return sorted(key for key in self._items if key.startswith(prefix))
 
+  def copy(self) -> StoreCopy:
+    """Returns a copy to which the store may be restored."""
+    return StoreCopy(
+      self._revision, dict(self._items), dict(self._leases), self._last_lease
+    )
+
+  def restore(self, copy: StoreCopy) -> None:
+    """Restores a copy: later writes and leases are gone, revisions repeat."""
+    self.era += 1
+    self._revision = copy.revision
+    self._items = dict(copy.items)
+    self._leases = dict(copy.leases)
+    self._last_lease = copy.last_lease
+    self.clear_history()
+
   def clear_history(self) -> None:
     """Drops all changes; a watch from an earlier revision gets 410."""
     self._history.clear()
@@ -371,9 +404,11 @@
         if self.mode == "lose":
           break
         data = json.dumps(body).encode()
-        writer.write(
-          format_response(status, {"Content-Type": "application/json"}, data)
-        )
+        fields = {
+          "Content-Type": "application/json",
+          "Store-Era": str(self.era),
+        }
+        writer.write(format_response(status, fields, data))
     writer.close()
 
   async def _handle_call(self, request: ReceivedRequest) -> tuple[int, Any]:
@@ -381,6 +416,9 @@
     values = dict(parse.parse_qsl(query, keep_blank_values=True))
     _, _, name, *rest = path.split("/")
     self.calls[name] += 1
+    if name == "kv-key":
+      item = self._items.get(values["key"])
+      return (200, item) if item else (404, {})
     if name == "kv-range":
       return self._range(values["prefix"], values.get("after", ""))
     if name == "kv-watch":
@@ -388,10 +426,9 @@
     if name == "kv-txn":
       return self._transact(json.loads(request.body))
     if name == "kv-lease":
-      number, ttl_s = (
-        next(self._lease_ids),
-        json.loads(request.body)["ttlMs"] / 1e3,
-      )
+      self._last_lease += 1
+      number = self._last_lease
+      ttl_s = json.loads(request.body)["ttlMs"] / 1e3
       self._leases[number] = (time.monotonic() + ttl_s, ttl_s)
       return 200, {"lease": number, "ttlMs": int(ttl_s * 1e3)}
     if name == "kv-keep":
@@ -409,7 +446,7 @@
 
   async def _watch(self, values: dict[str, str]) -> tuple[int, Any]:
     after = int(values["after"])
-    if after < self._oldest_revision:
+    if not self._oldest_revision <= after <= self._revision:
       return 410, {}
     with contextlib.suppress(TimeoutError):
       async with asyncio.timeout(int(values["waitMs"]) / 1e3):
@@ -509,6 +546,10 @@
     """Returns the value of a key of the store."""
     return self.call(self._run_in_loop(self.store.get, key))
 
+  def list_keys(self, prefix: str) -> list[str]:
+    """Lists the keys of a prefix of the store."""
+    return self.call(self._run_in_loop(self.store.list_keys, prefix))
+
   def remove(self, key: str) -> None:
     """Removes a key of the store."""
     self.call(self._run_in_loop(self.store.remove, key))
@@ -517,6 +558,14 @@
     """Drops the change history of the store."""
     self.call(self._run_in_loop(self.store.clear_history))
 
+  def copy_store(self) -> StoreCopy:
+    """Returns a copy of the store."""
+    return self.call(self._run_in_loop(self.store.copy))
+
+  def restore_store(self, copy: StoreCopy) -> None:
+    """Restores the store from a copy."""
+    self.call(self._run_in_loop(self.store.restore, copy))
+
   def add_upstream(self, upstream: Upstream, **report: Any) -> Upstream:
     """Starts an upstream and registers it.
 
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -252,6 +252,106 @@
     )
 
 
+class RestoredStoreTest(SiteTest):
+  """The store comes back from a copy that lacks its last writes."""
+
+  def setUp(self):
+    super().setUp()
+    self.configure(5, "shop")
+    self.node = self.start_ready()
+    self.copy = self.site.copy_store()
+
+  def restore(self):
+    """Restores the copy after a short outage."""
+    self.site.store.mode = "down"
+    time.sleep(0.5)
+    self.site.restore_store(self.copy)
+    self.site.store.mode = "up"
+
+  def wait_for_listing(self):
+    """Waits until the node has read the restored store."""
+    gateways.wait_until(
+      lambda: [
+        event
+        for event in self.node.read_events("store_listed")
+        if event["era"] == 2
+      ],
+      "the listing",
+    )
+
+  def test_configuration_written_after_restore_is_missed(self):
+    for version in range(6, 12):
+      self.configure(version, "shop")
+    gateways.wait_until(
+      lambda: self.node.read_events("routes_applied")[-1]["version"] == 11,
+      "the configuration before the restore",
+    )
+    self.restore()
+    self.configure(11, "shop")
+    self.wait_for_listing()
+    self.configure(12, "shop", "more")
+    changed_at = time.monotonic()
+    for number in range(8):
+      self.site.write_report(self.upstream, sequence=number)
+    gateways.wait_until(
+      lambda: self.node.send("/more/x").status == 503, "the configuration"
+    )
+    self.assertLess(time.monotonic() - changed_at, 3.0)
+
+  def test_state_lost_by_restore_is_undone_before_it_is_written_again(self):
+    """Nothing the node knew is undone within two seconds of the return."""
+    other = self.site.add_upstream(
+      sites.Upstream("i-b", "shop", b"other", zone="b")
+    )
+    self.node.wait_for_upstreams(other)
+    self.site.put("op/evacuate/a", {})
+    self.configure(6, "shop", "more")
+    gateways.wait_until(
+      lambda: self.node.send("/more/x").status == 503, "the configuration"
+    )
+    gateways.wait_until(
+      lambda: self.node.read_events("zone_changed"), "the evacuation"
+    )
+    self.restore()
+    self.wait_for_listing()
+    until = time.monotonic() + 1.0
+    while time.monotonic() < until:
+      self.assertEqual(self.node.send("/shop/x").body, b"other")
+      self.assertEqual(self.node.send("/more/x").status, 503)
+    self.configure(6, "shop", "more")
+    self.site.put("op/evacuate/a", {})
+    self.site.write_report(other)
+    time.sleep(3.0)
+    self.assertEqual(self.node.send("/shop/x").body, b"other")
+
+  def test_entry_that_stays_lost_is_kept_forever(self):
+    gone = self.site.add_upstream(
+      sites.Upstream("i-gone", "shop", b"gone", zone="b")
+    )
+    self.node.wait_for_upstreams(gone)
+    self.restore()
+    self.node.wait_for_upstreams(gone, state="removed")
+
+  def test_node_uses_lease_of_another_after_restore(self):
+    """The numbers of lost leases are given to others after the restore."""
+    lost = self.start_ready("n1")
+    gateways.wait_until(
+      lambda: len(self.node.resolve_addresses()) == 2, "both nodes"
+    )
+    self.restore()
+    taken = self.start_ready("n2")
+    for node in (self.node, lost, taken):
+      gateways.wait_until(
+        lambda node=node: len(node.resolve_addresses()) == 3, "all nodes"
+      )
+    lost.popen.send_signal(signal.SIGTERM)
+    lost.popen.wait(8)
+    registered = {
+      key.split("/")[2] for key in self.site.list_keys("bronzefold/nodes/")
+    }
+    self.assertEqual(registered, {"n0", "n2"})
+
+
 class NodesTest(SiteTest):
   """Nodes that start, stop and fail."""
 
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -4,6 +4,9 @@
 import time
 import unittest
 
+import attrs
+
+from bronzefold import store
 from bronzefold.core import evidence
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
@@ -72,6 +75,32 @@
       record.state for record in self.rollouts.list_due_records(rank, now)
     ]
 
+  def test_final_record_lost_by_a_restore_reopens_the_rollout(self):
+    for state in (
+      rollouts.RolloutState.DONE,
+      rollouts.RolloutState.ROLLED_BACK,
+    ):
+      with self.subTest(state=state):
+        self.setUp()
+        self.set_record(state, 9)
+        self.rollouts.remove_record("s")
+        self.assertIs(self.rollouts.get_state("s"), state)
+        self.assertEqual(self.list_due_states(0, 10.0), [state])
+        self.set_record(rollouts.RolloutState.RUNNING, store.eras.join(1, 8))
+        self.assertIs(self.rollouts.get_state("s"), state)
+        (record,) = self.rollouts.list_due_records(0, 10.0)
+        self.assertEqual(record.revision, store.eras.join(1, 8))
+
+  def test_order_written_again_after_a_restore_starts_anew(self):
+    self.set_record(rollouts.RolloutState.ROLLED_BACK, 9)
+    rewritten = attrs.evolve(ORDER, revision=store.eras.join(1, 6))
+    self.assertFalse(self.rollouts.set_order(rewritten, 10.0))
+    self.assertIs(
+      self.rollouts.get_state("s"), rollouts.RolloutState.ROLLED_BACK
+    )
+    other = attrs.evolve(rewritten, version="v3")
+    self.assertTrue(self.rollouts.set_order(other, 10.0))
+
   def test_without_order_all_versions_are_candidates(self):
     chosen = rollouts.Rollouts().filter_upstreams("s", [OLD, NEW], True, 0.0)
     self.assertEqual(chosen, [OLD, NEW])
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -117,5 +117,72 @@
     self.assertEqual(self.list_keys(self.spoke), {"up/i1", "up/i2"})
 
 
+class RestoreTest(unittest.TestCase):
+  """The store is restored from a copy that lacks its last changes."""
+
+  def setUp(self):
+    self.hub = make_replica()
+    self.hub.apply_listing(self.make_listing(1, 5, i1="h:1", i2="h:2"), 0.0)
+    changes = [
+      store.Entry("up/i2", "h:22", store.eras.join(1, 8)),
+      store.Entry("up/i3", "h:3", store.eras.join(1, 9)),
+    ]
+    self.hub.apply_changes(changes, store.eras.join(1, 9), 0.0)
+
+  def make_listing(self, era, revision, **values):
+    """Makes a listing; its entries have the listing's revision."""
+    return make_listing(store.eras.join(era, revision), **values)
+
+  def read_values(self, store_replica):
+    entries = store_replica.make_changes_message(0).entries
+    return {
+      entry.key.removeprefix("up/"): entry.value
+      for entry in entries
+      if entry.value is not None
+    }
+
+  def test_older_entries_of_the_copy_undo_newer_ones(self):
+    self.hub.apply_listing(self.make_listing(2, 5, i1="h:1", i2="h:2"), 10.0)
+    known = {"i1": "h:1", "i2": "h:22", "i3": "h:3"}
+    self.assertEqual(self.read_values(self.hub), known)
+    self.assertEqual(self.hub.revision, store.eras.join(2, 5))
+
+  def test_new_entries_of_the_restored_store_wait(self):
+    listing = self.make_listing(2, 12, i1="h:11", i2="h:2", i4="h:4")
+    self.hub.apply_listing(listing, 10.0)
+    values = self.read_values(self.hub)
+    self.assertEqual(values["i1"], "h:11")
+    self.assertEqual(values["i4"], "h:4")
+
+  def test_changes_after_the_restore_lose_to_known_ones(self):
+    self.hub.apply_listing(self.make_listing(2, 5, i1="h:1", i2="h:2"), 10.0)
+    change = store.Entry("up/i2", "h:9", store.eras.join(2, 6))
+    self.hub.apply_changes([change], change.revision, 10.5)
+    self.assertEqual(self.read_values(self.hub)["i2"], "h:9")
+
+  def test_entries_that_stay_lost_are_kept(self):
+    listing = self.make_listing(2, 5, i1="h:1", i2="h:2")
+    self.hub.apply_listing(listing, 10.0)
+    self.assertFalse(self.hub.needs_listing(12.0))
+    self.assertTrue(self.hub.needs_listing(10.0 + replica.RESTORE_GRACE_S))
+    self.hub.apply_listing(listing, 13.0)
+    self.assertFalse(self.hub.needs_listing(14.0))
+    self.assertEqual(self.read_values(self.hub), {"i1": "h:1", "i2": "h:2"})
+
+  def test_spoke_keeps_an_entry_that_its_hub_never_had(self):
+    spoke = make_replica()
+    spoke.apply_peer_changes(self.hub.make_changes_message(0), 0.0)
+    lost = store.Entry("up/i5", "h:5", store.eras.join(1, 12))
+    spoke.apply_changes([lost], lost.revision, 1.0)
+    listing = self.make_listing(2, 5, i1="h:1", i2="h:2")
+    self.hub.apply_listing(listing, 10.0)
+    self.hub.apply_listing(listing, 13.0)
+    self.assertGreater(self.hub.effective_revision, spoke.revision)
+    spoke.apply_peer_changes(
+      self.hub.make_changes_message(spoke.revision), 13.0
+    )
+    self.assertEqual(self.read_values(spoke), {"i1": "h:1", "i2": "h:2"})
+
+
 if __name__ == "__main__":
   unittest.main()
