Withhold new claims of owners for a lease after a restore

On the product's own interface a restored store may lack an owner's claim. Nodes that see the era change now wait for the lifetime of a lease.

--- a/packages/node/src/bronzefold/node/leadership.py
+++ b/packages/node/src/bronzefold/node/leadership.py
@@ -76,7 +76,7 @@
         self._send_samples(leader.node)
 
   async def _claim_leadership(self) -> None:
-    lease = self._session.get_lease(clock.read_monotonic())
+    lease = self._session.get_lease_for_claims(clock.read_monotonic())
     if lease is None:
       return
     record = configuration.LeaderRecord(self._settings.node)
--- a/packages/node/src/bronzefold/node/ownership.py
+++ b/packages/node/src/bronzefold/node/ownership.py
@@ -269,7 +269,7 @@
       # There is no claim in the store, so the term is always 1.
       self._start_executor(document, entry, 1, tasks)
       return True
-    lease = self._session.get_lease(clock.read_monotonic())
+    lease = self._session.get_lease_for_claims(clock.read_monotonic())
     if lease is None:
       return False
     key = keys.OWNER_PREFIX + entry.name
--- a/packages/node/src/bronzefold/node/session.py
+++ b/packages/node/src/bronzefold/node/session.py
@@ -68,6 +68,8 @@
     self._is_store_reachable = True
     self._watch_scope: anyio.CancelScope | None = None
     self._is_listing_current = False
+    self._era: int | None = None
+    self._claims_from: clock.Seconds = 0.0
     self.leaving_vm_addresses: frozenset[str] = frozenset()
 
   def get_lease(self, now: clock.Seconds) -> NodeLease | None:
@@ -83,6 +85,15 @@
       return None
     return lease
 
+  def get_lease_for_claims(self, now: clock.Seconds) -> NodeLease | None:
+    """Returns the lease for new claims; None if it may have lapsed.
+
+    It is also withheld for the lifetime of a lease after the store was
+    restored: the restored copy may lack claims on which former owners rely
+    until their leases have lapsed.
+    """
+    return self.get_lease(now) if now >= self._claims_from else None
+
   def is_under_lease(self, revision: int) -> bool:
     """True when a claim of this revision is attached to the present lease.
 
@@ -204,6 +215,11 @@
     self._registered_revision = self._registered_revision or revision
 
   def _record_store_reply(self, requested_at: clock.Seconds) -> None:
+    if self._client.era != self._era:
+      if self._era is not None:
+        now = clock.read_monotonic()
+        self._claims_from = now + self._settings.lease_ttl_s
+      self._era = self._client.era
     if self._is_listing_current:
       self._members.record_store_contact(requested_at)
     if not self._is_store_reachable:
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -1,10 +1,13 @@
 """A node's lease, its registration and the claims attached to the lease."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
 from bronzefold import store
+from bronzefold.core import clock
+from bronzefold.core import defaults
 from bronzefold.core import exceptions
 from bronzefold.core import settings
 from bronzefold.node import configuration
@@ -17,6 +20,7 @@
 
   def __init__(self) -> None:
     self.revision = 10
+    self.era = 0
     self.leases: set[int] = set()
     self.entries: dict[str, store.Entry] = {}
     self.fail_registration = False
@@ -87,6 +91,21 @@
     self.assertIsNotNone(self.session.get_lease(0.0))
     self.assertFalse(self.session.is_under_lease(claim_revision))
 
+  def test_claim_is_made_while_a_lost_one_is_still_relied_on(self):
+    self.store.era = 1
+    self.run_lease()
+    now = clock.read_monotonic()
+    self.assertIsNotNone(self.session.get_lease_for_claims(now))
+    self.store.era = 2
+    self.run_lease()
+    now = clock.read_monotonic()
+    self.assertIsNotNone(self.session.get_lease(now))
+    self.assertIsNone(self.session.get_lease_for_claims(now))
+    later = now + defaults.LEASE_TTL_S
+    lease = session.NodeLease(1, later + 1.0)
+    with mock.patch.object(self.session, "get_lease", return_value=lease):
+      self.assertIsNotNone(self.session.get_lease_for_claims(later))
+
 
 if __name__ == "__main__":
   unittest.main()
