Pause when the store rejects a lease that it has just created

A lease that lapses after use is still replaced at once. Gateway nodes and query nodes had the same loop.

--- a/packages/gateway/src/bronzefold/gateway/follower.py
+++ b/packages/gateway/src/bronzefold/gateway/follower.py
@@ -95,12 +95,15 @@
   async def run_lease(self) -> None:
     """Keeps this node registered until it leaves."""
     while not self._is_leaving:
+      is_new = self._lease_id is None
       try:
         await self._renew_registration()
       except exceptions.LeaseLapsedError:
         events.LEASE_LAPSED.log(_logger, node=self._members.own_member.node)
         self._lease_id = None
         self._is_registered = False
+        if is_new:
+          await anyio.sleep(RETRY_PAUSE_S)
         continue
       except exceptions.StoreError as error:
         self._record_store_failure(error)
--- a/packages/node/src/bronzefold/node/session.py
+++ b/packages/node/src/bronzefold/node/session.py
@@ -111,6 +111,7 @@
         iteration_started_at, clock.read_monotonic()
       )
       iteration_started_at = clock.read_monotonic()
+      is_new = self._lease is None
       try:
         await self._renew_lease()
         await self._register_node()
@@ -118,6 +119,8 @@
       except exceptions.LeaseLapsedError:
         events.LEASE_LAPSED.log(_logger, node=self._settings.node)
         self._lease = None
+        if is_new:
+          await anyio.sleep(defaults.STORE_RETRY_DELAY_S)
         continue
       except exceptions.StoreError as error:
         self._record_store_failure(error)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -91,6 +91,24 @@
     self.assertIsNotNone(self.session.get_lease(0.0))
     self.assertFalse(self.session.is_under_lease(claim_revision))
 
+  def test_rejected_lease_is_requested_without_a_pause(self):
+    creations = []
+    create_lease = self.store.create_lease
+
+    async def create_and_forget(ttl_s: float) -> store.Lease:
+      creations.append(ttl_s)
+      lease = await create_lease(ttl_s)
+      self.store.leases.clear()
+      return lease
+
+    async def reject(key: str, value: str, expected: int, lease: int) -> int:
+      raise exceptions.LeaseLapsedError(str(lease))
+
+    self.store.create_lease = create_and_forget
+    self.store.put = reject
+    self.run_lease(0.2)
+    self.assertLessEqual(len(creations), 2)
+
   def test_claim_is_made_while_a_lost_one_is_still_relied_on(self):
     self.store.era = 1
     self.run_lease()
