Bound responses of upstreams that do not end

What callers saw: an upstream in trouble may send bytes without an end, in a head or a body. A gateway held the request until its deadline (504 after 3 s where 502 is due at once) and kept all bytes of a head; a header without end made the parser's time grow with its square. On the product's own interface the body was read without any bound in size or time.

Cause: only the size of a body was bounded, and only in the gateway. Class: an input whose end the sender alone decides.

Change: bytes that end neither a head nor a part of a body are bounded by 64 KiB, which covers heads, interim responses, chunk extensions and trailers; the connection closes and the exchange fails with MalformedReplyError. The owner's connection bounds the body by 8 MiB and the whole exchange by its time limit.

--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -20,7 +20,8 @@
 
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _KEEP_ALIVE_MARGIN_S = 1.0
-_MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_HEAD_BYTES = 64 * 1024  # also of interim responses and trailers
+MAX_BODY_BYTES = 8 * 1024 * 1024
 _MAX_STRAY_RESPONSES = 4
 
 
@@ -54,6 +55,9 @@
     reusable: False once no other request may be sent, because the connection
       ends or bytes may follow that belong to no request.
     expires_at: Monotonic time after which an idle connection must not be used.
+
+  Bytes that end neither a head nor a part of a body are bounded by
+  ``MAX_HEAD_BYTES``, and a body by ``MAX_BODY_BYTES``.
   """
 
   def __init__(self) -> None:
@@ -71,6 +75,7 @@
     self._body_bytes = 0
     self._head_complete = False
     self._has_length = False
+    self._unparsed_bytes = 0
 
   @property
   def is_closed(self) -> bool:
@@ -125,10 +130,13 @@
       # next one.
       self.close()
       return
+    self._unparsed_bytes += len(data)
     try:
       self._parser.feed_data(data)
     except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
       self._fail(exceptions.MalformedReplyError(str(error)))
+    if self._unparsed_bytes > MAX_HEAD_BYTES:
+      self._fail(exceptions.MalformedReplyError("response head is too large"))
     if not self.reusable and self._outcome is None:
       self.close()
 
@@ -166,6 +174,8 @@
   def on_headers_complete(self) -> None:
     """Handles the end of the head; a response without a body ends here."""
     self._head_complete = self._parser.get_status_code() >= 200
+    if self._head_complete:
+      self._unparsed_bytes = 0
     if self._head_complete and not self._has_body:
       # The parser would wait for a body of the length given in the head.
       self.reusable = False
@@ -173,8 +183,9 @@
 
   def on_body(self, data: bytes) -> None:
     """Adds a chunk of the body; fails the exchange if it gets too large."""
+    self._unparsed_bytes = 0
     self._body_bytes += len(data)
-    if self._body_bytes > _MAX_BODY_BYTES:
+    if self._body_bytes > MAX_BODY_BYTES:
       self._fail(exceptions.MalformedReplyError("response body is too large"))
       return
     self._body.append(data)
@@ -202,6 +213,7 @@
       # The upstream responded before it had read the complete request.
       self.reusable = False
     self._update_expiry(response)
+    self._unparsed_bytes = 0
     outcome, self._outcome = self._outcome, None
     if not outcome.done():
       outcome.set_result(response)
--- a/packages/upstreams/src/bronzefold/upstreams/connection.py
+++ b/packages/upstreams/src/bronzefold/upstreams/connection.py
@@ -14,6 +14,8 @@
 from bronzefold.core import exceptions
 from bronzefold.upstreams import messages
 
+_MAX_BODY_BYTES = 8 * 1024 * 1024
+
 
 @attrs.frozen
 class Exchange:
@@ -102,7 +104,7 @@
       The response, or an error as for ``send``.
     """
     request = self._make_request("GET", "/v1/status", [], b"", timeout_s)
-    return await self._send_request(request, "")
+    return await self._send_request(request, "", timeout_s)
 
   async def fetch_manifest(
     self, snapshot: int, timeout_s: float
@@ -118,7 +120,7 @@
     """
     path = f"/v1/manifest?snapshot={snapshot}"
     request = self._make_request("GET", path, [], b"", timeout_s)
-    return await self._send_request(request, "")
+    return await self._send_request(request, "", timeout_s)
 
   async def send(
     self, exchange: Exchange
@@ -145,7 +147,9 @@
     request = self._make_request(
       "POST", exchange.path, headers, exchange.body, exchange.budget_s
     )
-    return await self._send_request(request, exchange.request)
+    return await self._send_request(
+      request, exchange.request, exchange.budget_s
+    )
 
   def _make_request(
     self,
@@ -175,7 +179,7 @@
     )
 
   async def _send_request(
-    self, request: httpcore.Request, request_id: str
+    self, request: httpcore.Request, request_id: str, timeout_s: float
   ) -> Result[Response, exceptions.BronzefoldError]:
     if not self.is_open:
       await self.close()
@@ -184,15 +188,18 @@
     completed = False
     started_at = clock.read_monotonic()
     try:
-      response = await self._connection.handle_async_request(request)
-      body = await response.aread()
+      with anyio.fail_after(timeout_s):
+        response = await self._connection.handle_async_request(request)
+        body = await _read_body(response)
       await response.aclose()
       completed = True
+    except exceptions.MalformedReplyError as error:
+      return Error(error)
     except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
       return Error(exceptions.ConnectFailedError(str(error)))
     except httpcore.ConnectionNotAvailable as error:
       return Error(exceptions.ConnectFailedError(str(error)))
-    except httpcore.TimeoutException:
+    except (httpcore.TimeoutException, TimeoutError):
       return Error(
         exceptions.TimedOutError(
           "upstream did not respond within the time limit"
@@ -248,3 +255,19 @@
     return Ok(
       Response(instance, response.status, body, took_s, rate_limit_per_s)
     )
+
+
+async def _read_body(response: httpcore.Response) -> bytes:
+  """Reads the body of a response.
+
+  Raises:
+    MalformedReplyError: The body is larger than ``_MAX_BODY_BYTES``.
+  """
+  chunks: list[bytes] = []
+  size = 0
+  async for chunk in response.aiter_stream():
+    size += len(chunk)
+    if size > _MAX_BODY_BYTES:
+      raise exceptions.MalformedReplyError("response body is too large")
+    chunks.append(chunk)
+  return b"".join(chunks)
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -77,11 +77,13 @@
     keeps_connection: Whether the connection stays open after the data is
       written.
     resets_connection: Whether the connection is reset and no data is written.
+    repeated: Bytes to write after the data until the connection closes.
   """
 
   data: bytes = b""
   keeps_connection: bool = True
   resets_connection: bool = False
+  repeated: bytes = b""
 
 
 Behaviour = Callable[["Upstream", ReceivedRequest], UpstreamOutput]
@@ -198,6 +200,9 @@
       return False
     writer.write(output.data)
     await writer.drain()
+    while output.repeated:
+      writer.write(output.repeated)
+      await writer.drain()
     return output.keeps_connection
 
   async def execute(
@@ -255,6 +260,22 @@
   return UpstreamOutput(b"\x00\x01 not an answer\r\n\r\n")
 
 
+@register_behaviour("endless head")
+def _send_endless_head(
+  upstream: Upstream, request: ReceivedRequest
+) -> UpstreamOutput:
+  del upstream, request
+  return UpstreamOutput(b"HTTP/1.1 200 OK\r\nX: ", repeated=b"x" * 65536)
+
+
+@register_behaviour("endless body")
+def _send_endless_body(
+  upstream: Upstream, request: ReceivedRequest
+) -> UpstreamOutput:
+  del upstream, request
+  return UpstreamOutput(b"HTTP/1.1 200 OK\r\n\r\n", repeated=b"x" * 65536)
+
+
 @register_behaviour("unframed")
 def _unframed(upstream: Upstream, request: ReceivedRequest) -> UpstreamOutput:
   """Sends a response whose body ends with the connection, without a length."""
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -1,6 +1,7 @@
 """Tests how a connection to an upstream parses received bytes."""
 
 import asyncio
+import itertools
 import unittest
 
 from hypothesis import given
@@ -48,6 +49,33 @@
   return response.get_header(b"x-id") in (None, b"mine")
 
 
+# A start of a response, and bytes that may follow it without end.
+_ENDLESS = {
+  "status line": (b"HTTP/1.1 200 ", b"x" * 997),
+  "header name": (b"HTTP/1.1 200 OK\r\n", b"x" * 997),
+  "header value": (b"HTTP/1.1 200 OK\r\nX-Id: ", b"x" * 997),
+  "headers": (b"HTTP/1.1 200 OK\r\n", b"X-Id: mine\r\n" * 80),
+  "interim responses": (b"", _CONTINUE * 40),
+  "body without length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 997),
+  "chunks": (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"3e0\r\n" + b"x" * 0x3E0 + b"\r\n",
+  ),
+  "chunk extension": (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+    b"x" * 997,
+  ),
+  "trailers": (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    b"X-Id: mine\r\n" * 80,
+  ),
+  "long length": (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+    b"x" * 997,
+  ),
+}
+
+
 async def run_exchange(chunks, is_closed_at_end=True):
   """Feeds bytes to a channel with one request in progress.
 
@@ -128,6 +156,36 @@
     )
     self.assertTrue(conn.is_closed)
 
+  def test_bytes_without_end_are_read_until_the_deadline(self):
+    for name, (start, repeated) in _ENDLESS.items():
+      with self.subTest(name=name):
+        error, read_bytes = asyncio.run(self.feed_until_closed(start, repeated))
+        self.assertIsInstance(error, exceptions.MalformedReplyError)
+        is_body = any(word in name for word in ("body", "chunk", "length"))
+        most = channel.MAX_BODY_BYTES if is_body else 0
+        self.assertLess(read_bytes, most + 2 * channel.MAX_HEAD_BYTES)
+
+  async def feed_until_closed(self, start, repeated):
+    """Feeds bytes until the channel closes, at most 100 MB.
+
+    Returns:
+      The error of the exchange, None without one, and the count of bytes.
+    """
+    conn = channel.Channel()
+    transport = _Transport()
+    conn.connection_made(transport)
+    outcome = conn.start(b"GET / HTTP/1.1\r\n\r\n", is_response_to_request)
+    pieces = itertools.chain(
+      [start], itertools.repeat(repeated * 16, 100_000_000 // 16_000)
+    )
+    read_bytes = 0
+    for piece in pieces:
+      conn.data_received(piece)
+      read_bytes += len(piece)
+      if transport.is_aborted:
+        break
+    return outcome.done() and outcome.exception(), read_bytes
+
   def test_response_without_length_ends_with_connection(self):
     without_length = b"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nbody"
     _, outcome = asyncio.run(run_exchange([without_length]))
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -67,8 +67,27 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-class RateLimitTest(unittest.IsolatedAsyncioTestCase):
-  """An upstream announces how many requests it accepts."""
+class EndlessUpstream(StubUpstream):
+  """Sends a body without end after each request but the reads of its status."""
+
+  async def serve(self, stream):
+    """Serves one connection."""
+    async with stream:
+      try:
+        while (await stream.receive()).startswith(b"GET"):
+          await stream.send(self.make_response(b"GET", {}))
+        await stream.send(b"HTTP/1.1 200 OK\r\n\r\n")
+        while True:
+          await stream.send(b"x" * 65536)
+      except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return
+
+
+class ExecutorTest(unittest.IsolatedAsyncioTestCase):
+  """Upstreams that announce a rate limit, or whose responses do not end."""
+
+  def setUp(self):
+    self.upstream = StubUpstream()
 
   async def run_jobs(self, count, deadline_s):
     """Submits jobs at once; returns their outcomes."""
@@ -86,7 +105,6 @@
 
   async def check_with_executor(self, check):
     """Runs a check while the executor and the upstream run."""
-    self.upstream = StubUpstream()
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(SocketAttribute.local_port)
     entry = documents.UpstreamEntry("up", f"127.0.0.1:{port}", "a", "v1")
@@ -121,6 +139,17 @@
 
     await self.check_with_executor(check)
 
+  async def test_response_without_end_is_read_without_bound(self):
+    self.upstream = EndlessUpstream()
+
+    async def check():
+      started_at = time.monotonic()
+      (outcome,) = await self.run_jobs(1, 5.0)
+      self.assertIsInstance(outcome.error, exceptions.MalformedReplyError)
+      self.assertLess(time.monotonic() - started_at, 3.0)
+
+    await self.check_with_executor(check)
+
   async def test_rate_limit_ends_with_its_announcement(self):
     async def check():
       self.upstream.rate_limit = "10"
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -167,6 +167,21 @@
         self.assertNotIn("bronzefold-response-seal", reply.headers)
         self.assertEqual(self.count_runs(name), 1)
 
+  def test_response_without_end_holds_its_caller(self):
+    first, second = self.get_upstreams("shop")
+    for behaviour in ("endless head", "endless body"):
+      with self.subTest(behaviour=behaviour):
+        self.set_behaviour("shop", behaviour)
+        reply = self.node.send("/once/x", method="POST", deadline_ms=5000)
+        self.assertEqual(reply.status, 502)
+        self.assertLess(reply.took_s, 1.5)
+        second.behaviour = "serve"
+        replies = [self.node.send("/plain/x") for _ in range(5)]
+        self.assertEqual({reply.body for reply in replies}, {b"shop1"})
+    gateways.wait_until(
+      lambda: first.connections == 0, "the end of the connections"
+    )
+
   def test_refused_non_idempotent_request_goes_to_sibling(self):
     first, second = self.get_upstreams("shop")
     first.behaviour = "shed"
