Read all keys again after a peer told of a restore

A node that is cut off from the store learns the new era from a peer and then watches from there, so entries that were lost and that it alone knew stayed for good (tests.test_replica...test_node_informed_by_a_peer_keeps_entries_ that_stay_lost failed before). The grace period now starts with any change of the era. Found by reading the change again.

Also from that reading: no tokens are requested for a limited upstream while an unlimited one is usable, and bounds that both cores use stand in core/defaults.py.

--- a/packages/core/src/bronzefold/core/defaults.py
+++ b/packages/core/src/bronzefold/core/defaults.py
@@ -32,6 +32,10 @@
 # one, since they may be older than the refusal.
 MIN_DRAINING_S = 5.0
 MAX_RECONNECT_DELAY_S = 0.1
+MAX_UPSTREAM_BODY_BYTES = 8 * 1024 * 1024
+# An upstream that announces a rate limit of 0 must still be asked when it
+# accepts more again, since only responses tell.
+MIN_UPSTREAM_RATE_PER_S = 0.25
 
 HEDGE_SHARE = 0.03
 HEDGE_QUANTILE = 0.95
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -227,8 +227,10 @@
       shard.service, now
     )
     usable = selection.list_usable(candidates, (), now)
+    if not usable or any(upstream.rate_limit is None for upstream in usable):
+      return 0.0
     request_tokens = self._dependencies.request_tokens
-    if not usable or any(
+    if any(
       selection.has_token(upstream, request_tokens, now) for upstream in usable
     ):
       return 0.0
--- a/packages/gateway/src/bronzefold/gateway/ratelimits.py
+++ b/packages/gateway/src/bronzefold/gateway/ratelimits.py
@@ -12,6 +12,7 @@
 import attrs
 
 from bronzefold.core import budgets
+from bronzefold.core import defaults
 from bronzefold.core.clock import Seconds
 
 # Bounds the tokens that unreachable or idle nodes hold, and the requests of a
@@ -21,8 +22,6 @@
 # a low limit would serve one node at a time.
 BURST_REQUESTS = 3.0
 BURST_S = 0.5  # of the announced rate
-# An upstream that announces 0 must still be asked when it accepts more again.
-MIN_RATE_PER_S = 0.25
 REQUEST_TIMEOUT_S = 0.05  # 25 times a round trip between zones
 GRANT_DELAY_S = 0.002  # a round trip between zones
 USAGE_WINDOW_S = 0.25  # tokens used in it are requested again in advance
@@ -145,7 +144,9 @@
     Returns:
       The number of tokens allocated, and the time until the next one.
     """
-    limit_per_s = share * max(MIN_RATE_PER_S, self.limit_per_s)
+    limit_per_s = share * max(
+      defaults.MIN_UPSTREAM_RATE_PER_S, self.limit_per_s
+    )
     burst = max(1.0, share * BURST_REQUESTS + BURST_S * limit_per_s)
     if self._bucket is None:
       self._bucket = budgets.TokenBucket(now)
--- a/packages/gateway/src/bronzefold/gateway/replica.py
+++ b/packages/gateway/src/bronzefold/gateway/replica.py
@@ -106,11 +106,7 @@
       known_revision=self.revision,
       entries=len(listing.entries),
     )
-    is_restored = store.eras.get_era(listing.revision) > store.eras.get_era(
-      self.revision
-    )
-    if self.revision and is_restored:
-      self._restore_grace_until = now + RESTORE_GRACE_S
+    if self._is_of_later_era(listing.revision):
       certain = [
         entry for entry in listing.entries if self._is_certainly_newer(entry)
       ]
@@ -126,6 +122,11 @@
     self._restore_grace_until = None
     self._apply_whole_listing(listing, now)
 
+  def _is_of_later_era(self, revision: int) -> bool:
+    """True if the store was restored since the last change that is known."""
+    known_era = store.eras.get_era(self.revision)
+    return bool(self.revision) and store.eras.get_era(revision) > known_era
+
   def _is_certainly_newer(self, entry: store.Entry) -> bool:
     """True unless an entry of a restored store may be older than known ones."""
     known_revision = self._get_revision(entry.key)
@@ -156,6 +157,8 @@
       revision: Store revision up to which the entries are complete.
       now: Monotonic time.
     """
+    if self._is_of_later_era(revision):
+      self._restore_grace_until = now + RESTORE_GRACE_S
     previous_revision = self.effective_revision
     ignored: list[store.Entry] = []
     for entry in entries:
--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -15,13 +15,13 @@
 import httptools
 
 from bronzefold.core import clock
+from bronzefold.core import defaults
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
 
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _KEEP_ALIVE_MARGIN_S = 1.0
 MAX_HEAD_BYTES = 64 * 1024  # also of interim responses and trailers
-MAX_BODY_BYTES = 8 * 1024 * 1024
 _MAX_STRAY_RESPONSES = 4
 
 
@@ -57,7 +57,7 @@
     expires_at: Monotonic time after which an idle connection must not be used.
 
   Bytes that end neither a head nor a part of a body are bounded by
-  ``MAX_HEAD_BYTES``, and a body by ``MAX_BODY_BYTES``.
+  ``MAX_HEAD_BYTES``, and a body by ``MAX_UPSTREAM_BODY_BYTES``.
   """
 
   def __init__(self) -> None:
@@ -185,7 +185,7 @@
     """Adds a chunk of the body; fails the exchange if it gets too large."""
     self._unparsed_bytes = 0
     self._body_bytes += len(data)
-    if self._body_bytes > MAX_BODY_BYTES:
+    if self._body_bytes > defaults.MAX_UPSTREAM_BODY_BYTES:
       self._fail(exceptions.MalformedReplyError("response body is too large"))
       return
     self._body.append(data)
--- a/packages/upstreams/src/bronzefold/upstreams/connection.py
+++ b/packages/upstreams/src/bronzefold/upstreams/connection.py
@@ -14,8 +14,6 @@
 from bronzefold.core import exceptions
 from bronzefold.upstreams import messages
 
-_MAX_BODY_BYTES = 8 * 1024 * 1024
-
 
 @attrs.frozen
 class Exchange:
@@ -261,13 +259,13 @@
   """Reads the body of a response.
 
   Raises:
-    MalformedReplyError: The body is larger than ``_MAX_BODY_BYTES``.
+    MalformedReplyError: The body is larger than ``MAX_UPSTREAM_BODY_BYTES``.
   """
   chunks: list[bytes] = []
   size = 0
   async for chunk in response.aiter_stream():
     size += len(chunk)
-    if size > _MAX_BODY_BYTES:
+    if size > defaults.MAX_UPSTREAM_BODY_BYTES:
       raise exceptions.MalformedReplyError("response body is too large")
     chunks.append(chunk)
   return b"".join(chunks)
--- a/packages/upstreams/src/bronzefold/upstreams/executor.py
+++ b/packages/upstreams/src/bronzefold/upstreams/executor.py
@@ -31,8 +31,6 @@
 _MIN_TIME_LEFT_LATENCY_FACTOR = 0.8
 _FAILURE_LATENCY_FACTOR = 10.0
 _STRAGGLER_LATENCY_FACTOR = 3.0
-# Responses announce the end of a rate limit, so some requests must be sent.
-_MIN_RATE_PER_S = 0.25
 
 _logger = logging.getLogger(__name__)
 
@@ -446,7 +444,7 @@
     The owner alone sends to the upstream, so it uses the whole limit.
     """
     if rate_limit_per_s is not None:
-      rate_limit_per_s = max(_MIN_RATE_PER_S, rate_limit_per_s)
+      rate_limit_per_s = max(defaults.MIN_UPSTREAM_RATE_PER_S, rate_limit_per_s)
     if rate_limit_per_s == self._rate_limit_per_s:
       return
     self._rate_limit_per_s = rate_limit_per_s
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from bronzefold.core import defaults
 from bronzefold.core import exceptions
 from bronzefold.upstreams import channel
 
@@ -162,7 +163,7 @@
         error, read_bytes = asyncio.run(self.feed_until_closed(start, repeated))
         self.assertIsInstance(error, exceptions.MalformedReplyError)
         is_body = any(word in name for word in ("body", "chunk", "length"))
-        most = channel.MAX_BODY_BYTES if is_body else 0
+        most = defaults.MAX_UPSTREAM_BODY_BYTES if is_body else 0
         self.assertLess(read_bytes, most + 2 * channel.MAX_HEAD_BYTES)
 
   async def feed_until_closed(self, start, repeated):
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -169,6 +169,20 @@
     self.assertFalse(self.hub.needs_listing(14.0))
     self.assertEqual(self.read_values(self.hub), {"i1": "h:1", "i2": "h:2"})
 
+  def test_node_informed_by_a_peer_keeps_entries_that_stay_lost(self):
+    cut_off = make_replica()
+    cut_off.apply_peer_changes(self.hub.make_changes_message(0), 0.0)
+    lost = store.Entry("up/i5", "h:5", store.eras.join(1, 12))
+    cut_off.apply_changes([lost], lost.revision, 1.0)
+    listing = self.make_listing(2, 5, i1="h:1", i2="h:2")
+    self.hub.apply_listing(listing, 10.0)
+    cut_off.apply_peer_changes(
+      self.hub.make_changes_message(cut_off.revision), 10.0
+    )
+    self.assertTrue(cut_off.needs_listing(13.0))
+    cut_off.apply_listing(listing, 13.0)
+    self.assertEqual(self.read_values(cut_off), {"i1": "h:1", "i2": "h:2"})
+
   def test_spoke_keeps_an_entry_that_its_hub_never_had(self):
     spoke = make_replica()
     spoke.apply_peer_changes(self.hub.make_changes_message(0), 0.0)
