Write claims of idempotency keys again that a restore lost

Cause: a claim was taken for durable once acknowledged; a restored copy may be some seconds older.

Change: a node keeps its claims of the last minute and writes those that the copy lacks, or has in an older state, again. New claims are refused, as not run, from the moment at which a node notices the restore until 2.5 s later; a claim whose own write shows the restore is deleted again. An update of a claim that the store lacks no longer fails on an empty value.

Open: a claim whose node dies within the same seconds.

--- a/packages/node/src/bronzefold/node/claims.py
+++ b/packages/node/src/bronzefold/node/claims.py
@@ -13,6 +13,7 @@
 
 from bronzefold import store
 from bronzefold.core import exceptions
+from bronzefold.core.clock import Seconds
 from bronzefold.store import keys
 
 RUNNING = "running"
@@ -20,6 +21,10 @@
 UNKNOWN = "unknown"
 
 _STORE_ATTEMPTS = 3
+# Nodes notice a restore of the store within a renewal of their leases, 1 s.
+_RESTORE_GRACE_S = 2.5
+# A restored copy is some seconds old.
+_RECENT_CLAIM_S = 60.0
 
 
 @attrs.frozen
@@ -94,6 +99,10 @@
     """
     self._client = client
     self._unreleased_nonces: dict[str, str] = {}
+    self._recent_records: dict[str, ClaimRecord] = {}
+    self._era: int | None = None
+    self._new_era: int | None = None
+    self._new_era_seen_at: Seconds = 0.0
 
   async def claim(
     self, service: str, idempotency_key: str, digest: str, now_wall: float
@@ -108,15 +117,24 @@
 
     Returns:
       The claim, or the prior attempt that holds the key, or an error: the key
-      was used with another route or body, or the store did not confirm the
-      claim.
+      was used with another route or body, the store did not confirm the
+      claim, or it was restored a short time ago and may lack earlier claims.
     """
     key = make_key(service, idempotency_key)
     nonce = uuid.uuid4().hex
     record = ClaimRecord(nonce, digest, RUNNING, now_wall)
+    if self._era is None:
+      self._era = self._client.era
+    if self._client.era != self._era:
+      return Error(_make_restored_error())
     try:
       revision = await self._client.put(key, _encode(record), 0)
-      return Ok(Claim(key, revision, record))
+      claim = Claim(key, revision, record)
+      if self._client.era != self._era:
+        await self.release(claim)
+        return Error(_make_restored_error())
+      self._remember(key, record)
+      return Ok(claim)
     except exceptions.ConflictError as conflict:
       return self._resolve_conflict(key, conflict, record)
     except exceptions.StoreError:
@@ -147,8 +165,29 @@
       claim, attrs.evolve(claim.record, state=UNKNOWN)
     )
 
+  async def restore_lost(self, now: Seconds) -> None:
+    """Writes claims of this node again after the store was restored.
+
+    Until ``_RESTORE_GRACE_S`` after this node noticed the restore, ``claim``
+    refuses new claims, so that other nodes can write theirs.
+
+    Args:
+      now: Monotonic time.
+    """
+    era = self._client.era
+    if self._era is None or era == self._era:
+      return
+    if era != self._new_era:
+      self._new_era, self._new_era_seen_at = era, now
+    for key, record in list(self._recent_records.items()):
+      if not await self._update_record(Claim(key, 0, record), record):
+        return
+    if now - self._new_era_seen_at >= _RESTORE_GRACE_S:
+      self._era = era
+
   async def release(self, claim: Claim) -> None:
     """Deletes the claim of an action that certainly did not run."""
+    self._recent_records.pop(claim.key, None)
     try:
       await self._client.delete(claim.key, claim.revision)
     except exceptions.ConflictError:
@@ -247,16 +286,40 @@
     assert record.nonce == claim.record.nonce, (
       "the update has another nonce than the claim"
     )
+    self._remember(claim.key, record)
+    expected = claim.revision
     for _ in range(_STORE_ATTEMPTS):
       try:
-        await self._client.put(claim.key, _encode(record), claim.revision)
+        await self._client.put(claim.key, _encode(record), expected)
         return True
       except exceptions.ConflictError as conflict:
-        return _decode(conflict.current_value) == record
+        # A restored store may lack the claim or have it in an older state.
+        expected = conflict.current_revision
+        current = _decode(conflict.current_value) if expected else record
+        if expected and current == record:
+          return True
+        if current.nonce != record.nonce:
+          return False
       except exceptions.StoreError:
         continue
     return False
 
+  def _remember(self, key: str, record: ClaimRecord) -> None:
+    """Keeps a record for as long as a restore of the store may lose it."""
+    self._recent_records.pop(key, None)
+    self._recent_records[key] = record
+    oldest_at = record.claimed_at - _RECENT_CLAIM_S
+    while (first := next(iter(self._recent_records))) != key:
+      if self._recent_records[first].claimed_at >= oldest_at:
+        break
+      del self._recent_records[first]
+
+
+def _make_restored_error() -> exceptions.ClaimsUnavailableError:
+  return exceptions.ClaimsUnavailableError(
+    "the store was restored a short time ago and may lack earlier claims"
+  )
+
 
 def _encode(record: ClaimRecord) -> str:
   return msgspec.json.encode(record).decode()
--- a/packages/node/src/bronzefold/node/node.py
+++ b/packages/node/src/bronzefold/node/node.py
@@ -46,7 +46,7 @@
 from bronzefold.peers import membership
 
 _OWNERSHIP_PERIOD_S = 0.1
-_CLAIM_RELEASE_RETRY_PERIOD_S = 5.0
+_CLAIM_RETRY_PERIOD_S = 5.0
 _DRAIN_POLL_PERIOD_S = 0.05
 # An idle server ends 0.4 s after `request_shutdown`.
 _SERVER_STOP_TIMEOUT_S = 2.0
@@ -224,7 +224,7 @@
       self._gossip.run,
       self._leadership.run,
       self._run_ownership,
-      self._run_claim_release_retries,
+      self._run_claim_retries,
     ):
       tasks.start_soon(supervision.supervise, work)
 
@@ -284,10 +284,11 @@
       self.members.set_state(membership.SERVING)
       events.NODE_SERVING.log(_logger, node=self._settings.node)
 
-  async def _run_claim_release_retries(self) -> None:
+  async def _run_claim_retries(self) -> None:
     while True:
       await self._idempotency_claims.retry_releases()
-      await anyio.sleep(_CLAIM_RELEASE_RETRY_PERIOD_S)
+      await self._idempotency_claims.restore_lost(clock.read_monotonic())
+      await anyio.sleep(_CLAIM_RETRY_PERIOD_S)
 
   async def _handle_message(self, sender: str, message: Any) -> None:
     handle = functools.partial(self._gossip.handle, sender, message)
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -330,7 +330,7 @@
   Attributes:
     mode: "up"; "down" (503); "silent" (no response); "lose" (calls are executed
       and the connection closes without a response).
-    era: Number of times that it was restored, which its responses name.
+    era: Rises by one with each restore; its responses name it.
     calls: Count of calls by name of the operation, such as "kv-watch".
   """
 
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -35,6 +35,8 @@
     faults: ``down`` answers each call with 503. ``slow_s`` delays each call.
       ``lose`` is the share of writes that are executed but answered with 504.
       ``lag_s`` is the age at which watches see a change.
+    era: Number of times that it was restored from a copy.
+    copy: The copy that it can be restored from; None without one.
     call_numbers: Source of the numbers of calls while ``lose`` is set. The
       number of a write decides whether its response is lost.
   """
@@ -50,6 +52,23 @@
     self.calls: collections.Counter = collections.Counter()
     self.faults = {"down": False, "slow_s": 0.0, "lose": 0.0, "lag_s": 0.0}
     self.call_numbers = itertools.count()
+    self.era = 0
+    self.copy: tuple[int, dict[str, dict]] | None = None
+
+  def make_copy(self) -> None:
+    """Copies the keys."""
+    self.copy = (self.revision, dict(self.keys))
+
+  def restore(self) -> None:
+    """Restores the copy; later changes and all leases are gone."""
+    self.era += 1
+    self.revision, keys = self.copy
+    self.keys = dict(keys)
+    self.history.clear()
+    self.leases.clear()
+    self.lease_ids = itertools.count(1)
+    for key in [k for k, e in self.keys.items() if e.get("lease")]:
+      self.write_key(key, None, None)
 
   def write_key(self, key: str, value: str | None, lease: int | None) -> dict:
     """Writes a key, or removes it when the value is None.
@@ -129,6 +148,7 @@
         return responses.JSONResponse({}, 503)
       self.store.expire_leases()
       response = await handler(request)
+      response.headers["x-store-era"] = str(self.store.era)
       call_number = (
         next(self.store.call_numbers) if self.store.faults["lose"] else 0
       )
@@ -185,11 +205,16 @@
     prefix = request.query_params["prefix"]
     after = int(request.query_params["after"])
     until = time.monotonic() + float(request.query_params["wait_s"])
+    era = self.store.era
+    if after > self.store.revision:
+      return responses.JSONResponse({}, 410)
     while True:
       entries = self.store.list_visible_changes(prefix, after)
       left_s = until - time.monotonic()
       if entries or left_s <= 0 or self.store.faults["down"]:
         break
+      if era != self.store.era:
+        return responses.JSONResponse({}, 410)
       try:
         await asyncio.wait_for(self.store.change_event.wait(), min(left_s, 0.1))
       except TimeoutError:
@@ -223,13 +248,20 @@
     return responses.JSONResponse({"vms": self.store.vms})
 
   async def set_faults(self, request):
-    """Updates faults; ``vms`` sets the VM list, ``end_leases`` ends all leases.
+    """Updates faults.
+
+    ``vms`` sets the VM list, ``end_leases`` ends all leases, ``copy`` makes a
+    copy, and ``restore`` restores it.
 
     A store that is no longer down extends each lease to a full TTL from now.
     """
     faults = await request.json()
     self.store.vms = faults.pop("vms", self.store.vms)
     ends_leases = faults.pop("end_leases", False)
+    if faults.pop("copy", False):
+      self.store.make_copy()
+    if faults.pop("restore", False):
+      self.store.restore()
     was_down = self.store.faults["down"]
     self.store.faults.update(faults)
     if was_down and not self.store.faults["down"]:
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -51,6 +51,20 @@
     done = sum(r.status == 200 for r in running_load.records)
     self.assertGreater(done, 0.9 * len(running_load.records))
 
+  def test_action_whose_claim_a_restore_lost_runs_twice(self):
+    self.fleet.set_store_faults(copy=True)
+    self.assertEqual(self.fleet.run_action("n0", "lost-1", {})[0], 200)
+    self.fleet.set_store_faults(restore=True)
+    until = time.monotonic() + 8.0
+    repeated = {}
+    while time.monotonic() < until and not repeated.get("repeated"):
+      status, repeated = self.fleet.run_action("n1", "lost-1", {})
+      self.assertIn(status, (200, 503))
+      time.sleep(0.2)
+    self.assert_at_most_once()
+    self.assertTrue(repeated.get("repeated"))
+    self.assertEqual(self.fleet.run_action("n2", "new-1", {})[0], 200)
+
   def test_action_is_not_run_and_search_is_answered_while_store_is_down(self):
     self.fleet.set_store_faults(down=True)
     status, reply = self.fleet.run_action("n0", "down-1", {})
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,6 +15,7 @@
   def __init__(self) -> None:
     self.entries: dict[str, store.Entry] = {}
     self.revision = 0
+    self.era = 0
     self.lose_next_reply = False
     self.is_down = False
 
@@ -102,6 +103,50 @@
     error = self.claim(self.claims_b, "another").error
     self.assertIsInstance(error, exceptions.KeyReusedError)
 
+  def restore(self, entries: dict[str, store.Entry]) -> None:
+    """Restores the store; its nodes notice that with their next call."""
+    self.store.entries = dict(entries)
+    self.store.era += 1
+
+  def test_claim_lost_by_a_restore_is_made_twice(self):
+    claim = self.claim(self.claims_a).ok
+    self.assertIsInstance(self.claim(self.claims_b).ok, claims.PriorAttempt)
+    self.restore({})
+    self.assertIsInstance(
+      self.claim(self.claims_b).error, exceptions.ClaimsUnavailableError
+    )
+    self.assertEqual(self.store.entries, {})
+    anyio.run(self.claims_a.restore_lost, 10.0)
+    for now in (10.0, 12.0, 13.0):
+      anyio.run(self.claims_b.restore_lost, now)
+    self.assertIsInstance(self.claim(self.claims_b).ok, claims.PriorAttempt)
+    self.assertTrue(anyio.run(self.claims_a.finish, claim, 200, b"{}"))
+    prior_attempt = self.claim(self.claims_b).ok
+    self.assertEqual(prior_attempt.record.state, claims.ENDED)
+
+  def test_claim_that_meets_a_restore_stays(self):
+    self.claim(self.claims_a)
+    put = self.store.put
+
+    async def restore_and_put(key: str, value: str, expected: int) -> int:
+      self.restore({})
+      return await put(key, value, expected)
+
+    self.store.put = restore_and_put
+    self.assertIsInstance(
+      self.claim(self.claims_b).error, exceptions.ClaimsUnavailableError
+    )
+    self.assertEqual(self.store.entries, {})
+
+  def test_outcome_lost_by_a_restore_stays_unknown(self):
+    claim = self.claim(self.claims_a).ok
+    copy = dict(self.store.entries)
+    anyio.run(self.claims_a.finish, claim, 200, b"{}")
+    self.restore(copy)
+    anyio.run(self.claims_a.restore_lost, 10.0)
+    (entry,) = self.store.entries.values()
+    self.assertIn(claims.ENDED, entry.value)
+
   def test_only_old_ended_claims_are_deleted(self):
     claim = self.claim(self.claims_a).ok
     self.assertEqual(anyio.run(self.claims_a.delete_expired, 9e9, 10.0), 0)
