Write documents again that a restore lost

What callers saw: on the product's own interface a document that had been accepted reverted when the store was restored from a copy that was older; a route that it had added was unknown from then on.

Cause: the first listing after a restore was taken for newer than what the nodes held, though a copy is older by nature.

Change: documents in force whose change is later than the listed one stay in force, and all nodes write them again under the condition that the key is still as listed. A later change of the operators ends that.

--- a/packages/node/src/bronzefold/node/configuration.py
+++ b/packages/node/src/bronzefold/node/configuration.py
@@ -83,6 +83,21 @@
   term: int
 
 
+@attrs.frozen
+class LostDocument:
+  """A document that a restored store lacks or has in an older form.
+
+  Attributes:
+    key: Its key.
+    value: Its value before the restore.
+    restored_revision: Revision of the older form, 0 if there is none.
+  """
+
+  key: str
+  value: str
+  restored_revision: int
+
+
 Listener = Callable[[store.Entry], None]
 
 
@@ -112,6 +127,8 @@
     self.leader: NodeClaim | None = None
     self._entries: dict[str, store.Entry] = {}
     self._listeners: list[Listener] = []
+    self._lost_documents: dict[str, LostDocument] = {}
+    self._listed_era: int | None = None
 
   def add_listener(self, listener: Listener) -> None:
     """Adds a function that is called with each entry after it is applied."""
@@ -133,8 +150,21 @@
     return tuple(sorted(changed, key=lambda entry: entry.revision))
 
   def apply_listing(self, listing: store.Listing) -> None:
-    """Applies a listing of all keys; keys missing from it were deleted."""
-    present = {entry.key for entry in listing.entries}
+    """Applies a listing of all keys; keys missing from it were deleted.
+
+    In the first listing after the store was restored, documents that are older
+    than those in force are left out; see ``list_lost_documents``.
+    """
+    era = store.eras.get_era(listing.revision)
+    if self._listed_era is not None and era > self._listed_era:
+      self._lost_documents = self._find_lost_documents(listing)
+    self._listed_era = era
+    entries = [
+      entry
+      for entry in listing.entries
+      if not self._is_lost(entry.key, entry.revision)
+    ]
+    present = {entry.key for entry in entries} | self._lost_documents.keys()
     deleted = [
       store.Entry(key, None, listing.revision)
       for key, entry in self._entries.items()
@@ -142,7 +172,37 @@
       and entry.value is not None
       and entry.revision <= listing.revision
     ]
-    self.apply_changes([*listing.entries, *deleted], listing.revision)
+    self.apply_changes([*entries, *deleted], listing.revision)
+
+  def list_lost_documents(self) -> list[LostDocument]:
+    """Lists documents in force that the restored store does not hold yet."""
+    return list(self._lost_documents.values())
+
+  def _is_lost(self, key: str, revision: int) -> bool:
+    """True if an entry is the older form of a lost document."""
+    lost = self._lost_documents.get(key)
+    return lost is not None and lost.restored_revision == revision
+
+  def _find_lost_documents(
+    self, listing: store.Listing
+  ) -> dict[str, LostDocument]:
+    """Finds the documents in force that are newer than those of a listing."""
+    listed = {entry.key: entry for entry in listing.entries}
+    known = (
+      entry
+      for key, entry in self._entries.items()
+      if key.startswith(keys.DOCUMENT_PREFIX) and entry.value is not None
+    )
+    return {
+      entry.key: LostDocument(
+        entry.key,
+        entry.value,
+        listed[entry.key].revision if entry.key in listed else 0,
+      )
+      for entry in known
+      if entry.key not in listed
+      or _read_change_time(listed[entry.key]) < _read_change_time(entry)
+    }
 
   def apply_changes(
     self, entries: Iterable[store.Entry], revision: int
@@ -171,6 +231,7 @@
       )
       return
     self._entries[entry.key] = entry
+    self._lost_documents.pop(entry.key, None)
     events.CONFIG_APPLIED.log(_logger, key=entry.key, revision=entry.revision)
     for listener in self._listeners:
       listener(entry)
@@ -270,6 +331,12 @@
   configuration.leader = record and NodeClaim(record.node, entry.revision)
 
 
+def _read_change_time(entry: store.Entry) -> float:
+  """Returns the Unix time of a document's change; 0 if it is invalid."""
+  result = documents.read_document_record(entry.value, entry.key)
+  return 0.0 if result.is_error() else result.ok.at
+
+
 def _decode(entry: store.Entry, record_type: type[_T]) -> _T | None:
   """Decodes an entry's value; returns None when the key was deleted."""
   if entry.value is None:
--- a/packages/node/src/bronzefold/node/session.py
+++ b/packages/node/src/bronzefold/node/session.py
@@ -141,6 +141,7 @@
       self._is_listing_current = True
       while True:
         self._record_store_reply(requested_at)
+        await self._restore_lost_documents()
         requested_at = clock.read_monotonic()
         listing = await self._client.watch(
           keys.SHARED_PREFIX, self._config.revision, defaults.WATCH_WAIT_S
@@ -150,6 +151,17 @@
       self._record_store_failure(error)
       await anyio.sleep(defaults.STORE_RETRY_DELAY_S)
 
+  async def _restore_lost_documents(self) -> None:
+    """Writes documents again that the restored store lacks.
+
+    All nodes try; the first write wins, and the watch delivers it to them.
+    """
+    for lost in self._config.list_lost_documents():
+      try:
+        await self._client.put(lost.key, lost.value, lost.restored_revision)
+      except exceptions.ConflictError:
+        continue
+
   def _restart_watch_after_pause(
     self, previous_at: clock.Seconds, now: clock.Seconds
   ) -> None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,6 @@
 """Accepted changes are applied by all nodes and never reverted."""
 
+import json
 import signal
 import time
 import unittest
@@ -15,6 +16,16 @@
 
 APPLY_TIMEOUT_S = 13.0
 ZONE_KEY = "bronzefold/zones/b"
+MINIMAL_DOCUMENT = {
+  "service": "fuel",
+  "owner": "team",
+  "routes": {"top": {"kind": "search", "merge": "ascending"}},
+  "upstreams": [
+    {"name": "u", "address": "127.0.0.1:1", "zone": "a", "version": "v1"}
+  ],
+  "versions": {"v1": {"share": 1.0}},
+  "zones": {"a": "in"},
+}
 
 
 class ApplyTest(unittest.TestCase):
@@ -114,6 +125,64 @@
     )
 
 
+class RestoreTest(unittest.TestCase):
+  """The store is restored from a copy."""
+
+  def test_document_lost_by_a_restore_reverts(self):
+    with fleet.Fleet(nodes=3) as restored_fleet:
+      document = restored_fleet.make_document()
+      restored_fleet.apply(document)
+      restored_fleet.wait_until_warm()
+      restored_fleet.set_store_faults(copy=True)
+      routes = {**document["routes"], "added": document["routes"]["groups"]}
+      restored_fleet.apply({**document, "routes": routes})
+      restored_fleet.set_store_faults(restore=True)
+      until = time.monotonic() + 8.0
+      while time.monotonic() < until:
+        for name in restored_fleet.settings:
+          status, reply = restored_fleet.search(name, "added", {})
+          self.assertNotEqual(reply.get("error"), "unknown_route")
+        time.sleep(0.1)
+      self.assertEqual(status, 200)
+      _, entry = fleet.call(
+        "GET",
+        restored_fleet.store_address,
+        "/v1/keys/bronzefold%2Fdocuments%2Ffuel",
+      )
+      self.assertIn('"added"', entry["value"])
+
+  def test_document_written_after_a_restore_is_undone(self):
+    config = configuration.Configuration()
+    key = "bronzefold/documents/fuel"
+
+    def make_entry(era, number, at):
+      value = json.dumps(
+        {
+          "document": MINIMAL_DOCUMENT,
+          "operation": f"o{at}",
+          "author": "test",
+          "at": at,
+        }
+      )
+      return store.Entry(key, value, store.eras.join(era, number))
+
+    def list_entry(entry):
+      config.apply_listing(store.Listing(entry.revision, (entry,)))
+
+    list_entry(make_entry(1, 9, 50.0))
+    list_entry(make_entry(2, 5, 40.0))
+    (lost,) = config.list_lost_documents()
+    self.assertEqual(lost.restored_revision, store.eras.join(2, 5))
+    self.assertIn("o50.0", config.get_entry(key).value)
+    written = make_entry(2, 6, 60.0)
+    config.apply_changes([written], written.revision)
+    self.assertEqual(config.list_lost_documents(), [])
+    self.assertIn("o60.0", config.get_entry(key).value)
+    list_entry(make_entry(3, 5, 70.0))
+    self.assertEqual(config.list_lost_documents(), [])
+    self.assertIn("o70.0", config.get_entry(key).value)
+
+
 class PauseTest(unittest.TestCase):
   """A node is paused while a change is made; its lease does not lapse.
 
