Soak: restore the store from a copy

Restores are drawn by a second source of random numbers, so the other faults of a seed stay as they were.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -31,6 +31,7 @@
 RECORD_COUNT = 2000
 ZONE_OUT_LIMIT_S = 3.0
 RECOVERY_TIMEOUT_S = 25.0
+RESTORE_PERIOD_S = 15.0  # leaves time for owners to claim upstreams again
 
 
 @attrs.frozen
@@ -69,6 +70,8 @@
   """Makes the schedule of a seed.
 
   Faults overlap, also those of the same kind. None starts in the last 8 s.
+  Restores of the store are drawn separately, so that the other faults of a seed
+  stay as they are.
 
   Args:
     seed: The seed.
@@ -78,7 +81,7 @@
     Faults in the order of their start.
   """
   random_numbers = random.Random(seed)
-  kinds = sorted(_INJECTORS)
+  kinds = sorted(_INJECTORS.keys() - {restore_store.__name__})
   schedule = []
   start_s = 1.0
   while start_s < duration_s - 8.0:
@@ -88,7 +91,13 @@
       Fault(start_s, length_s, kind, random_numbers.randrange(1000))
     )
     start_s += random_numbers.uniform(0.3, 3.5)
-  return schedule
+  random_numbers = random.Random(f"restores of {seed}")
+  start_s = random_numbers.uniform(2.0, RESTORE_PERIOD_S)
+  while start_s < duration_s - 8.0:
+    length_s = random_numbers.uniform(1.0, 6.0)
+    schedule.append(Fault(start_s, length_s, restore_store.__name__, 0))
+    start_s += random_numbers.uniform(0.5, 1.5) * RESTORE_PERIOD_S
+  return sorted(schedule, key=lambda fault: fault.start_s)
 
 
 class Soak:
@@ -398,6 +407,26 @@
   return undo
 
 
+@register_fault
+def restore_store(soak: Soak, _: int) -> Callable[[], None]:
+  """Copies the store, and restores the copy at the end.
+
+  No zone is out meanwhile, since the copy decides on the state of zones.
+  """
+  if not soak.targets_in_use.isdisjoint(("zone", "platform")):
+    return _do_nothing
+  soak.targets_in_use.update(("zone", "platform"))
+  since = time.time()
+  soak.fleet.set_store_faults(copy=True)
+
+  def undo() -> None:
+    soak.fleet.set_store_faults(restore=True)
+    soak.store_outages.append((since, time.time() + 2.0))
+    soak.targets_in_use.difference_update(("zone", "platform"))
+
+  return undo
+
+
 @register_fault
 def disturb_store(soak: Soak, target: int) -> Callable[[], None]:
   """Makes the store slow, lose responses to writes, or delay changes."""
