End the membership of a node that has left

Cause: a node that leaves ends its registration at once and sends heartbeats until it exits; the next heartbeat made it a member again, for good if no node of its name returned. Each node that stayed then kept a share of connections and extra requests free for it.

--- a/packages/peers/src/bronzefold/peers/membership.py
+++ b/packages/peers/src/bronzefold/peers/membership.py
@@ -169,7 +169,9 @@
     """Records a heartbeat.
 
     The age of a heartbeat is taken from its echo, not from its arrival: the
-    heartbeat was sent after this node had sent the one that it echoes.
+    heartbeat was sent after this node had sent the one that it echoes. A node
+    that leaves is a member only while it is registered, since it sends
+    heartbeats after the end of its registration.
 
     Args:
       heartbeat: The heartbeat.
@@ -178,6 +180,12 @@
         not make this node current.
     """
     member = Member.from_heartbeat(heartbeat)
+    has_left = (
+      member.state == LEAVING and member.node not in self._registered_members
+    )
+    if has_left:
+      self.unregister(member.node)
+      return
     self._heartbeat_members[member.node] = member
     self._sent_at_by_node[member.node] = heartbeat.sent_at
     if heartbeat.echo is None:
