Tests: a result channel of their own, and nothing left open

Seen: on arm64 with Python 3.11.6 five modules counted as "0 tests, 1 failed" although their tests had passed.

Cause: StreamWriter.__del__ printed "Event loop is closed" after the line with the result, on the pipe that also carried it, and the runner read the last line. Writers were open because stand-ins and the forwarder stopped their loops without closing connections.

Change: the result goes to a file of its own, and an exit code that is not 0 stays a failure. Stand-ins and the forwarder close servers and connections. Modules run with ResourceWarning as an error, and errors in finalizers fail their module.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,13 +8,16 @@
 
 from collections.abc import Iterable
 from concurrent import futures
+import gc
 import itertools
 import json
 import os
 import pathlib
 import subprocess
 import sys
+import tempfile
 import time
+from typing import Any
 import unittest
 
 import attrs
@@ -25,7 +28,7 @@
 MAX_PARALLEL_MODULES = 5
 
 _KNOWN_TEST_PREFIX = "test: "
-_RESULT_PREFIX = "result: "
+_LEFT_OPEN = "left_open"
 
 
 @attrs.frozen
@@ -36,7 +39,7 @@
     module: Name of the module.
     run: Count of tests that ran.
     failed: Ids of the tests that failed, or the name of the module when its
-      process did not print a result.
+      process ended without a result.
     took_s: Duration in seconds.
     output: Output of the process.
   """
@@ -58,26 +61,60 @@
   }
 
 
-def run_module(module: str) -> None:
-  """Runs the tests of one module in this process and prints the result."""
+def run_module(module: str, result_path: pathlib.Path | None) -> None:
+  """Runs the tests of one module in this process.
+
+  A warning or error in a finalizer, such as that of an open connection, counts
+  as a failure of the module.
+
+  Args:
+    module: Name of the module.
+    result_path: File to write the result to, as JSON; None to only print it.
+  """
+  unraisable: list[str] = []
+
+  def record_unraisable(args: Any) -> None:
+    unraisable.append(repr(args.exc_value))
+    sys.__unraisablehook__(args)
+
+  sys.unraisablehook = record_unraisable
   suite = unittest.defaultTestLoader.loadTestsFromName(module)
-  result = unittest.TextTestRunner(stream=sys.stdout, verbosity=2).run(suite)
+  result = unittest.TextTestRunner(
+    stream=sys.stdout, verbosity=2, warnings="error"
+  ).run(suite)
+  gc.collect()
   failed = [case.id() for case, _ in (*result.failures, *result.errors)]
   failed += [case.id() for case in result.unexpectedSuccesses]
+  if unraisable:
+    print(f"left open: {unraisable}")
+    failed.append(f"{module}.{_LEFT_OPEN}")
   counts = {"run": result.testsRun, "failed": sorted(set(failed))}
-  print(_RESULT_PREFIX + json.dumps(counts))
+  if result_path is not None:
+    result_path.write_text(json.dumps(counts), "utf-8")
 
 
-def _run_module_in_process(slot: int, module: str) -> ModuleResult:
+def run_module_in_process(
+  slot: int, module: str, directory: pathlib.Path
+) -> ModuleResult:
   """Runs the tests of one module in a new process.
 
   Args:
     slot: Slot of the ports that the process may use.
     module: Name of the module.
+    directory: Directory for the result of the process.
   """
   started = time.monotonic()
+  result_path = directory / f"{module}.json"
   completed = subprocess.run(
-    [sys.executable, "-m", "tests", module],
+    [
+      sys.executable,
+      "-W",
+      "error::ResourceWarning",
+      "-m",
+      "tests",
+      module,
+      str(result_path),
+    ],
     cwd=fleet.ROOT,
     env={**os.environ, fleet.PORT_SLOT_VARIABLE: str(slot)},
     stdout=subprocess.PIPE,
@@ -86,11 +123,9 @@
     check=False,
   )
   took_s = time.monotonic() - started
-  lines = completed.stdout.splitlines()
-  last_line = lines[-1] if lines else ""
-  if completed.returncode or not last_line.startswith(_RESULT_PREFIX):
+  if completed.returncode or not result_path.exists():
     return ModuleResult(module, 0, [module], took_s, completed.stdout)
-  counts = json.loads(last_line.removeprefix(_RESULT_PREFIX))
+  counts = json.loads(result_path.read_text("utf-8"))
   return ModuleResult(
     module, counts["run"], counts["failed"], took_s, completed.stdout
   )
@@ -115,9 +150,17 @@
     0 if at least one test ran and all failed tests are listed in
     KNOWN-RED.txt, otherwise 1.
   """
-  with futures.ThreadPoolExecutor(MAX_PARALLEL_MODULES) as executor:
+  with (
+    tempfile.TemporaryDirectory(prefix="bronzefold-results-") as directory,
+    futures.ThreadPoolExecutor(MAX_PARALLEL_MODULES) as executor,
+  ):
     results = list(
-      executor.map(_run_module_in_process, itertools.count(), modules)
+      executor.map(
+        run_module_in_process,
+        itertools.count(),
+        modules,
+        itertools.repeat(pathlib.Path(directory)),
+      )
     )
   failed = {name for result in results for name in result.failed}
   known_failures = read_known_failures()
@@ -138,12 +181,16 @@
 def main(arguments: list[str]) -> int:
   """Runs the module that is named, or all modules in separate processes.
 
+  Args:
+    arguments: Name of a module, and the file for its result, both optional.
+
   Returns:
     0 for a single module, even if its tests fail; for all modules, see
     ``run_all``.
   """
   if arguments:
-    run_module(arguments[0])
+    result_path = pathlib.Path(arguments[1]) if arguments[1:] else None
+    run_module(arguments[0], result_path)
     return 0
   return run_all(find_modules())
 
--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -20,6 +20,7 @@
     self._writers: set[asyncio.StreamWriter] = set()
     self._loop = asyncio.new_event_loop()
     self._listening = threading.Event()
+    self._stop = asyncio.Event()
     self._thread = threading.Thread(target=self._run, daemon=True)
     self._thread.start()
     self._listening.wait(5.0)
@@ -35,7 +36,7 @@
 
   def close(self) -> None:
     """Stops the thread, and with it the forwarding."""
-    self._loop.call_soon_threadsafe(self._loop.stop)
+    self._loop.call_soon_threadsafe(self._stop.set)
     self._thread.join()
 
   def _apply_interruption(self, interrupted: bool) -> None:
@@ -44,12 +45,20 @@
       writer.transport.abort()
 
   def _run(self) -> None:
-    asyncio.set_event_loop(self._loop)
-    self._loop.run_until_complete(
-      asyncio.start_server(self._serve, "127.0.0.1", self._port)
-    )
+    with asyncio.Runner(loop_factory=lambda: self._loop) as runner:
+      runner.run(self._forward())
+
+  async def _forward(self) -> None:
+    """Forwards connections until the stop, then closes all of them."""
+    server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
     self._listening.set()
-    self._loop.run_forever()
+    await self._stop.wait()
+    server.close()
+    for writer in self._writers:
+      writer.transport.abort()
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    if others:
+      await asyncio.wait(others, timeout=1.0)
 
   async def _serve(self, reader, writer) -> None:
     """Forwards a connection in both directions until they end."""
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -23,6 +23,7 @@
 
 RECORD_BYTES = 16
 _STORE_HISTORY_CHANGES = 5000
+_CLOSING_ITERATIONS = 3
 
 
 @attrs.define
@@ -347,6 +348,7 @@
     self._last_lease = 0
     self._change_event = asyncio.Event()
     self._oldest_revision = 0
+    self._writers: set[asyncio.StreamWriter] = set()
 
   def put(self, key: str, value: Any, lease: int = 0) -> int:
     """Writes a key.
@@ -413,6 +415,16 @@
     self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
   ) -> None:
     """Serves one connection."""
+    self._writers.add(writer)
+    try:
+      await self._serve_calls(reader, writer)
+    finally:
+      self._writers.discard(writer)
+      writer.close()
+
+  async def _serve_calls(
+    self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+  ) -> None:
     with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
       while (request := await read_request(reader)) is not None:
         if self.mode == "silent":
@@ -430,7 +442,11 @@
           "Store-Era": str(self.era),
         }
         writer.write(format_response(status, fields, data))
-    writer.close()
+
+  def abort_connections(self) -> None:
+    """Aborts all connections."""
+    for writer in self._writers:
+      writer.transport.abort()
 
   async def _handle_call(self, request: ReceivedRequest) -> tuple[int, Any]:
     path, _, query = request.target.partition("?")
@@ -542,6 +558,7 @@
     self.upstreams: dict[str, Upstream] = {}
     self._loop = asyncio.new_event_loop()
     self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+    self._server: asyncio.Server | None = None
     self.store: Store | None = None
 
   def __enter__(self) -> Self:
@@ -550,7 +567,7 @@
     return self
 
   def __exit__(self, *_: object) -> None:
-    self.call(self._cancel_tasks())
+    self.call(self._close())
     self._loop.call_soon_threadsafe(self._loop.stop)
     self._thread.join()
     self._loop.close()
@@ -633,15 +650,23 @@
 
   async def _start_store(self) -> None:
     self.store = Store()
-    server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
+    self._server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
+    port = self._server.sockets[0].getsockname()[1]
     self.store_address = f"127.0.0.1:{port}"
 
-  async def _cancel_tasks(self) -> None:
+  async def _close(self) -> None:
+    """Closes all servers and connections and ends their tasks."""
+    self._server.close()
+    self.store.abort_connections()
+    for upstream in self.upstreams.values():
+      await self._stop_upstream(upstream)
     others = asyncio.all_tasks() - {asyncio.current_task()}
     for task in others:
       task.cancel()
     await asyncio.gather(*others, return_exceptions=True)
+    # Transports close their sockets in callbacks of the next iterations.
+    for _ in range(_CLOSING_ITERATIONS):
+      await asyncio.sleep(0)
 
   async def _start_upstream(self, upstream: Upstream) -> None:
     upstream.server = await asyncio.start_server(
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -115,7 +115,7 @@
       lambda now, warm: None,
       lambda service, manifest: None,
     )
-    async with anyio.create_task_group() as tasks:
+    async with listener, anyio.create_task_group() as tasks:
       tasks.start_soon(listener.serve, self.upstream.serve)
       tasks.start_soon(self.executor.run)
       await anyio.sleep(0.2)
