Reset the state of a response before each exchange

Cause: a channel kept the parts of the response before. If that one had neither a body nor a length (204), its complete head stayed, and a connection that closed before or within the next head ended as an empty response. Its like: packages/node uses httpcore, whose state is made anew for each response, and discards the connection after an error (upstreams/connection.py).

--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -70,12 +70,13 @@
     self._is_response: Callable[[RawResponse], bool] | None = None
     self._has_body = True
     self._stray_count = 0
-    self._headers: list[tuple[bytes, bytes]] = []
-    self._body: list[bytes] = []
-    self._body_bytes = 0
-    self._head_complete = False
-    self._has_length = False
     self._unparsed_bytes = 0
+    self._headers: list[tuple[bytes, bytes]]
+    self._body: list[bytes]
+    self._body_bytes: int
+    self._head_complete: bool
+    self._has_length: bool
+    self._reset_message()
 
   @property
   def is_closed(self) -> bool:
@@ -110,6 +111,7 @@
     self._outcome = outcome
     self._is_response = is_response
     self._has_body = has_body
+    self._reset_message()
     self._transport.write(data)
     return outcome
 
@@ -158,11 +160,7 @@
     """Starts a response."""
     if self._outcome is None:
       self.reusable = False
-    self._headers = []
-    self._body = []
-    self._body_bytes = 0
-    self._head_complete = False
-    self._has_length = False
+    self._reset_message()
 
   def on_header(self, name: bytes, value: bytes) -> None:
     """Adds a header of the response."""
@@ -198,6 +196,14 @@
       self.reusable = False
     self._finish_response()
 
+  def _reset_message(self) -> None:
+    """Forgets the parts of an earlier response."""
+    self._headers = []
+    self._body = []
+    self._body_bytes = 0
+    self._head_complete = False
+    self._has_length = False
+
   def _finish_response(self) -> None:
     response = RawResponse(
       self._parser.get_status_code(),
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -187,6 +187,44 @@
         break
     return outcome.done() and outcome.exception(), read_bytes
 
+  def test_head_cut_anywhere_gives_no_response(self):
+    """The upstream closes in the middle of a head, after an earlier response.
+
+    The earlier response has neither body nor length.
+    """
+    earlier = b"HTTP/1.1 204 No Content\r\n\r\n"
+    head = _RESPONSE.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+    unframed = b"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\n"
+    for whole in (head, unframed):
+      for size in range(len(whole)):
+        with self.subTest(received=whole[:size]):
+          outcome = asyncio.run(self.cut_second(earlier, whole[:size]))
+          self.assertIsInstance(
+            outcome.exception(), exceptions.ConnectionLostError
+          )
+
+  async def cut_second(self, earlier, data):
+    """Serves a request, and cuts the response to the next one.
+
+    Args:
+      earlier: The first response.
+      data: What arrives of the second one before the connection closes.
+
+    Returns:
+      The future of the second response.
+    """
+    conn = channel.Channel()
+    conn.connection_made(_Transport())
+    conn.start(b"GET / HTTP/1.1\r\n\r\n", is_response_to_request)
+    conn.data_received(earlier)
+    self.assertTrue(conn.reusable)
+    outcome = conn.start(b"GET / HTTP/1.1\r\n\r\n", is_response_to_request)
+    if data:
+      conn.data_received(data)
+    conn.connection_lost(None)
+    await asyncio.sleep(0)
+    return outcome
+
   def test_response_without_length_ends_with_connection(self):
     without_length = b"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nbody"
     _, outcome = asyncio.run(run_exchange([without_length]))
