End the lease task when the lease is revoked

Cause: revoke_lease cleared the lease while run_lease waited for the store. Change: the task ends once the lease is revoked; a lease that the store grants after that is revoked too, and a registration uses the lease it began with. Evidence: test_lease_is_revoked_while_the_node_registers interrupts each call; before, one case failed with that error and the others never ended. Its like: the gateway's follower keeps the id in a local call and checks _is_leaving before it registers.

--- a/packages/node/src/bronzefold/node/session.py
+++ b/packages/node/src/bronzefold/node/session.py
@@ -63,6 +63,7 @@
     self._config = config
     self._members = members
     self._lease: NodeLease | None = None
+    self._is_revoked = False
     self._registered_state = ""
     self._registered_revision = 0
     self._is_store_reachable = True
@@ -104,9 +105,9 @@
     return 0 < self._registered_revision < revision
 
   async def run_lease(self) -> None:
-    """Renews the lease and the registration until cancelled."""
+    """Renews the lease and the registration until the lease is revoked."""
     iteration_started_at = clock.read_monotonic()
-    while True:
+    while not self._is_revoked:
       self._restart_watch_after_pause(
         iteration_started_at, clock.read_monotonic()
       )
@@ -114,6 +115,8 @@
       is_new = self._lease is None
       try:
         await self._renew_lease()
+        if self._is_revoked:
+          break
         await self._register_node()
         self._record_store_reply(iteration_started_at)
       except exceptions.LeaseLapsedError:
@@ -191,6 +194,7 @@
 
   async def revoke_lease(self) -> None:
     """Revokes the lease, which deletes the registration and all claims."""
+    self._is_revoked = True
     lease, self._lease = self._lease, None
     if lease is None:
       return
@@ -211,6 +215,9 @@
     else:
       lease_id = self._lease.lease_id
       await self._client.renew_lease(lease_id)
+    if self._is_revoked:
+      await self._client.revoke_lease(lease_id)
+      return
     valid_s = self._settings.lease_ttl_s - defaults.OWNERSHIP_MARGIN_S
     self._lease = NodeLease(lease_id, requested_at + valid_s)
 
@@ -218,13 +225,12 @@
     member = self._members.own_member
     if self._registered_state == member.state:
       return
+    lease_id = self._lease.lease_id  # may be revoked during the calls
     key = keys.NODE_PREFIX + member.node
     value = msgspec.json.encode(member).decode()
     current = await self._client.get(key)
     expected = current.revision if current else 0
-    revision = await self._client.put(
-      key, value, expected, self._lease.lease_id
-    )
+    revision = await self._client.put(key, value, expected, lease_id)
     self._registered_state = member.state
     # The first revision under this lease stays: claims made since are newer.
     self._registered_revision = self._registered_revision or revision
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -34,6 +34,9 @@
     if lease not in self.leases:
       raise exceptions.LeaseLapsedError(str(lease))
 
+  async def revoke_lease(self, lease: int) -> None:
+    self.leases.discard(lease)
+
   async def get(self, key: str) -> store.Entry | None:
     return self.entries.get(key)
 
@@ -109,6 +112,32 @@
     self.run_lease(0.2)
     self.assertLessEqual(len(creations), 2)
 
+  def test_lease_is_revoked_while_the_node_registers(self):
+    """The stop of a node meets each call of a renewal."""
+    for call in ("create_lease", "get", "put"):
+      with self.subTest(call=call):
+        self.setUp()
+        self.interrupt(call)
+        with self.assertNoLogs("bronzefold", "WARNING"):
+          anyio.run(self.run_lease_to_its_end)
+        self.assertIsNone(self.session.get_lease(0.0))
+        self.assertEqual(self.store.leases, set())
+
+  async def run_lease_to_its_end(self):
+    with anyio.fail_after(3.0):
+      await self.session.run_lease()
+
+  def interrupt(self, name):
+    """Makes the session revoke its lease while a call is in progress."""
+    call = getattr(self.store, name)
+
+    async def call_and_revoke(*arguments):
+      result = await call(*arguments)
+      await self.session.revoke_lease()
+      return result
+
+    setattr(self.store, name, call_and_revoke)
+
   def test_claim_is_made_while_a_lost_one_is_still_relied_on(self):
     self.store.era = 1
     self.run_lease()
