Answer callers of actions at their deadline when this node owns the upstream

Callers saw: an action whose upstream hangs got no answer at its deadline on the node that owns the upstream; in a stop of that node it was cut with status 500. Cause: an executor does not interrupt an action at its deadline, so that its outcome is not lost, and the dispatcher waited for the executor. A call to another node's executor did end at the deadline. Change: the dispatcher stops waiting at the deadline. The error says 'not run' only if the request had not been sent; a cancelled job is never sent.

--- a/packages/node/src/bronzefold/node/dispatch.py
+++ b/packages/node/src/bronzefold/node/dispatch.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+import anyio
 import attrs
 from expression import Error
 from expression import Ok
@@ -167,7 +168,12 @@
       priority=request.priority,
       idempotent=not request.key,
     )
-    outcome = await executor.submit(job)
+    # The executor itself does not interrupt an action at its deadline.
+    left_s = max(0.0, request.deadline - clock.read_monotonic())
+    with anyio.move_on_after(left_s) as scope:
+      outcome = await executor.submit(job)
+    if scope.cancelled_caught:
+      return Error(_make_deadline_error(job))
     self._upstream_directory.record_queue_length(
       request.upstream, executor.count_pending(), clock.read_monotonic()
     )
@@ -218,3 +224,10 @@
   return messages.CallReply(
     request=exchange_id, queued=queued, error=error.code, detail=error.detail
   )
+
+
+def _make_deadline_error(job: upstreams.Job) -> exceptions.BronzefoldError:
+  """Makes the error of a job that was cancelled at its deadline."""
+  if job.sent_at is None:
+    return exceptions.DeadlineExpiredError(job.exchange.request)
+  return exceptions.TimedOutError("the upstream did not reply in time")
