Answer requests that arrive late in a graceful stop before it ends

Callers saw (report of operators): requests that came late in the grace were passed on and cut at its end without an answer, actions among them. Cause: the drain limit counted from the closing of the listeners, and a request kept its own deadline, however little of the stop was left. A request that can't be expected to finish is refused at once as not run, with more time demanded for one that may not be repeated; an accepted one has the end of the stop as its deadline, so its caller gets a 504 instead of a closed connection. Load: requests on kept connections during a stop of 6 s.

--- a/packages/core/src/bronzefold/core/servers.py
+++ b/packages/core/src/bronzefold/core/servers.py
@@ -10,7 +10,9 @@
 
 import uvicorn
 
+from bronzefold.core import clock
 from bronzefold.core import events
+from bronzefold.core.clock import Seconds
 
 FIRST_REQUEST_WAIT_S = 0.5  # a twelfth of the gateway's stop limit of 6 s
 _POLL_PERIOD_S = 0.02  # 25 polls within FIRST_REQUEST_WAIT_S
@@ -26,12 +28,27 @@
   arrived ``FIRST_REQUEST_WAIT_S`` to send one. uvicorn resets both kinds.
   """
 
+  def __init__(self, config: uvicorn.Config) -> None:
+    """Creates a server; ``serve`` runs it.
+
+    Args:
+      config: Its configuration.
+    """
+    super().__init__(config)
+    self._cut_at: Seconds | None = None
+
   def capture_signals(self) -> contextlib.AbstractContextManager[None]:
     """Overrides uvicorn's signal handling; captures no signals."""
     return contextlib.nullcontext()
 
-  def request_shutdown(self) -> None:
-    """Makes the server shut down after answering requests in progress."""
+  def request_shutdown(self, cut_at: Seconds | None = None) -> None:
+    """Makes the server shut down after answering requests in progress.
+
+    Args:
+      cut_at: Monotonic time at which requests in progress are cut; None to wait
+        as long as the configuration of the server says.
+    """
+    self._cut_at = cut_at
     self.should_exit = True
 
   async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
@@ -53,6 +70,9 @@
     until = loop.time() + FIRST_REQUEST_WAIT_S
     while self._has_connection_without_request() and loop.time() < until:
       await asyncio.sleep(_POLL_PERIOD_S)
+    if self._cut_at is not None:
+      left_s = max(0.0, self._cut_at - clock.read_monotonic())
+      self.config.timeout_graceful_shutdown = left_s
     await super().shutdown(sockets)
 
   def _has_connection_without_request(self) -> bool:
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -12,6 +12,7 @@
 from bronzefold.core import clock
 from bronzefold.core import events
 from bronzefold.core import metrics
+from bronzefold.core import stopping
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import changes
 from bronzefold.gateway import fanout
@@ -92,6 +93,7 @@
     send_count: Number of requests sent to upstreams, all attempts included.
     metrics: Metrics of this node.
     token_source: Source of tokens for upstreams with a rate limit.
+    answer_by: Monotonic time of the last response of a graceful stop.
   """
 
   def __init__(
@@ -114,6 +116,7 @@
     self.send_count = 0
     self.metrics = metrics.Metrics()
     self.token_source: TokenSource = _LocalTokenSource()
+    self.answer_by: Seconds = stopping.RUNNING
     self._settings = node_settings
     self._started_at = clock.read_monotonic()
     self._pending: _PendingConfiguration | None = None
@@ -272,7 +275,15 @@
       refusal = model.Response(404, outcome="no_route")
       return self._record_refusal(request, refusal)
     timeout_s = min(route.timeout_s, request.timeout_s or route.timeout_s)
-    deadline = request.received_at + timeout_s
+    demand = stopping.Demand(
+      route.latency_objective_s, timeout_s, route.is_idempotent
+    )
+    if not stopping.may_accept(demand, self.answer_by, now):
+      refusal = _make_refusal("leaving", RETRY_AFTER_S)
+      return self._record_refusal(request, refusal)
+    deadline = stopping.limit_deadline(
+      request.received_at + timeout_s, self.answer_by
+    )
     services = route.shards or (self._traffic_split.choose(route),)
     if route.name not in self._latency_quantiles:
       self._latency_quantiles[route.name] = budgets.LatencyQuantile(
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -40,6 +40,8 @@
 # Callers cache the directory, which lists this node, for 1 s, some for 3 s.
 DIRECTORY_CACHE_WAIT_S = 2.5
 STOP_MARGIN_S = 0.5  # time for the process to exit
+ANSWER_MARGIN_S = 0.2  # time to send the last responses
+MIN_DRAIN_S = 1.0  # time for requests in progress, whatever the stop limit
 SETTINGS_POLL_PERIOD_S = 3.0
 FLEET_NAME = "gateway"
 BACKLOG = 512
@@ -185,18 +187,20 @@
 
   async def _leave(self) -> None:
     """Leaves the directory at once, and later stops accepting requests."""
+    now = clock.read_monotonic()
+    cut_at = now + max(
+      DIRECTORY_CACHE_WAIT_S + servers.FIRST_REQUEST_WAIT_S + MIN_DRAIN_S,
+      self._settings.stop_limit_s - STOP_MARGIN_S,
+    )
     events.NODE_LEAVING.log(_logger, node=self._settings.node)
-    self._fleet.leave(clock.read_monotonic())
+    self._fleet.leave(now)
+    self._gateway.answer_by = cut_at - ANSWER_MARGIN_S
     self._application.is_leaving = True
     self._tasks.start_soon(self._follower.leave)
     await anyio.sleep(DIRECTORY_CACHE_WAIT_S)
-    self._server.request_shutdown()
+    self._server.request_shutdown(cut_at)
 
   def _make_server_config(self) -> _ServerConfig:
-    after_drain_s = (
-      DIRECTORY_CACHE_WAIT_S + servers.FIRST_REQUEST_WAIT_S + STOP_MARGIN_S
-    )
-    drain_s = self._settings.stop_limit_s - after_drain_s
     return _ServerConfig(
       self._gateway.get_caller_limits,
       self._application,
@@ -208,7 +212,6 @@
       proxy_headers=False,
       server_header=False,
       date_header=False,
-      timeout_graceful_shutdown=max(1.0, drain_s),
       backlog=BACKLOG,
     )
 
--- a/packages/node/src/bronzefold/node/node.py
+++ b/packages/node/src/bronzefold/node/node.py
@@ -25,6 +25,7 @@
 from bronzefold.core import metrics
 from bronzefold.core import ranges
 from bronzefold.core import settings
+from bronzefold.core import stopping
 from bronzefold.core import supervision
 from bronzefold.node import actions
 from bronzefold.node import admission
@@ -48,6 +49,7 @@
 _OWNERSHIP_PERIOD_S = 0.1
 _CLAIM_RETRY_PERIOD_S = 1.0  # ``claims`` relies on it after a restore
 _DRAIN_POLL_PERIOD_S = 0.05
+_ANSWER_MARGIN_S = 0.2  # time to send the last responses of a stop
 # An idle server ends 0.4 s after `request_shutdown`.
 _SERVER_STOP_TIMEOUT_S = 2.0
 
@@ -83,6 +85,7 @@
     self.max_body_bytes = node_settings.max_body_bytes
     self._tasks: abc.TaskGroup | None = None
     self._stop_requested = anyio.Event()
+    self._answer_by: clock.Seconds = stopping.RUNNING
     self._last_logged_contact: membership.FleetContact | None = None
     self._metrics = metrics.Metrics()
     self._burn_recorder = burn.BurnRecorder()
@@ -230,6 +233,8 @@
 
   async def _leave_fleet(self, tasks: abc.TaskGroup) -> None:
     """Withdraws the node from the address lists and releases its upstreams."""
+    cut_at = clock.read_monotonic() + self._settings.stop_limit_s
+    self._answer_by = cut_at - _ANSWER_MARGIN_S
     self.members.set_state(membership.LEAVING)
     events.NODE_LEAVING.log(_logger, node=self._settings.node)
     self._gossip.send_heartbeats()
@@ -323,7 +328,9 @@
       route=route,
       query=bytes(body.query),
       options=_decode_merge_options(body.query),
-      deadline=_compute_deadline(document, body.deadline_ms, started_at),
+      deadline=self._compute_deadline(
+        document, body.deadline_ms, is_repeatable=True, now=started_at
+      ),
       requires_complete=body.complete,
     )
     try:
@@ -356,7 +363,9 @@
       route=route,
       key=key,
       body=body,
-      deadline=_compute_deadline(document, deadline_ms, started_at),
+      deadline=self._compute_deadline(
+        document, deadline_ms, is_repeatable=False, now=started_at
+      ),
     )
     try:
       with self._admission.admit_action():
@@ -478,6 +487,42 @@
       )
     return document
 
+  def _compute_deadline(
+    self,
+    document: documents.Document,
+    deadline_ms: int | None,
+    is_repeatable: bool,
+    now: clock.Seconds,
+  ) -> clock.Seconds:
+    """Computes the deadline of a request, which ends before a stop does.
+
+    Args:
+      document: Document of the service.
+      deadline_ms: Deadline that the caller states, in milliseconds.
+      is_repeatable: True if the request may run more than once.
+      now: Monotonic time.
+
+    Returns:
+      The monotonic time of the deadline.
+
+    Raises:
+      BadRequestError: The stated deadline is out of range.
+      StoppingError: The node stops before the request is likely to finish.
+    """
+    time_limit_ms = (
+      document.limits.deadline_ms if deadline_ms is None else deadline_ms
+    )
+    if not 1 <= time_limit_ms <= defaults.MAX_DEADLINE_MS:
+      raise exceptions.BadRequestError(
+        f"deadline_ms must be between 1 and {defaults.MAX_DEADLINE_MS}"
+      )
+    demand = stopping.Demand(
+      document.objectives.latency_ms / 1e3, time_limit_ms / 1e3, is_repeatable
+    )
+    if not stopping.may_accept(demand, self._answer_by, now):
+      raise exceptions.StoppingError("the node stops too soon for the request")
+    return stopping.limit_deadline(now + time_limit_ms / 1e3, self._answer_by)
+
   def _check_ready(self) -> None:
     if self.members.own_member.state == membership.STARTING:
       raise exceptions.NotReadyError(
@@ -491,21 +536,6 @@
       )
 
 
-def _compute_deadline(
-  document: documents.Document,
-  deadline_ms: int | None,
-  now: clock.Seconds,
-) -> clock.Seconds:
-  time_limit_ms = (
-    document.limits.deadline_ms if deadline_ms is None else deadline_ms
-  )
-  if not 1 <= time_limit_ms <= defaults.MAX_DEADLINE_MS:
-    raise exceptions.BadRequestError(
-      f"deadline_ms must be between 1 and {defaults.MAX_DEADLINE_MS}"
-    )
-  return now + time_limit_ms / 1e3
-
-
 def _decode_merge_options(query: msgspec.Raw) -> merges.MergeOptions:
   try:
     options = msgspec.json.decode(query, type=merges.MergeOptions)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -111,5 +111,39 @@
     process.wait(timeout=30)
 
 
+class LateActionTest(unittest.TestCase):
+  """An action that arrives while its node stops and that its upstream hangs."""
+
+  def setUp(self):
+    limits = {"linger_s": 2.0, "stop_limit_s": 4.0}
+    self.fleet = self.enterContext(fleet.Fleet(nodes=2, settings=limits))
+    self.fleet.apply(self.fleet.make_document())
+    self.fleet.wait_until_warm()
+
+  def test_action_gets_its_outcome_before_the_stop_ends(self):
+    names = [upstream["name"] for upstream in self.fleet.upstreams]
+    hangs = dict.fromkeys(names, {"hang_actions": 30.0})
+    self.fleet.set_upstream_faults(leaves=hangs)
+    process = self.fleet.processes["n1"].popen
+    process.send_signal(signal.SIGTERM)
+    started_at = time.monotonic()
+    time.sleep(1.5)
+    _, reply = self.fleet.run_action("n1", "late", {}, deadline_ms=9000)
+    took_s = time.monotonic() - started_at
+    self.assertEqual(reply["outcome"], "unknown", reply)
+    self.assertGreater(took_s, 3.0)
+    self.assertLess(took_s, 4.0)
+    self.assertEqual(process.wait(timeout=10), 0)
+
+  def test_action_that_can_not_finish_is_refused_as_not_run(self):
+    document = self.fleet.make_document(objectives={"latency_ms": 1000})
+    self.fleet.apply(document)
+    self.fleet.processes["n1"].popen.send_signal(signal.SIGTERM)
+    time.sleep(1.5)
+    status, reply = self.fleet.run_action("n1", "long", {}, deadline_ms=9000)
+    self.assertEqual((status, reply["outcome"]), (503, "not_run"))
+    self.assertNotIn("long", self.fleet.fetch_counts()["executions"])
+
+
 if __name__ == "__main__":
   unittest.main()
