Name the same entry nodes to callers on every node of a large fleet

A spoke named the nodes that it hears from, its four hubs. Of ten hubs six were large, and those of its own zone came first, so a spoke often knew two large ones; three are the least, and nodes of equal capacity are named all together, so it named small hubs and itself. Change: a hub's heartbeat to its spokes lists the live entry nodes, and a spoke names what any live hub listed (gateway/directory.py). Spokes have three hubs, since they no longer need them as entry nodes, and there is a hub for twelve nodes in place of eight. An older node ignores the list. Load: callers that ask any node of a fleet with few large nodes.

--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -7,11 +7,13 @@
 from typing import Any
 
 import anyio
+import attrs
 
 from bronzefold import peers
 from bronzefold.core import clock
 from bronzefold.core import evidence
 from bronzefold.core.clock import Seconds
+from bronzefold.gateway import directory
 from bronzefold.gateway import follower
 from bronzefold.gateway import gateway as gateways
 from bronzefold.gateway import replica
@@ -32,7 +34,6 @@
 SYNC_RETRY_PAUSE_S = 0.4  # a reply takes a few ms; a lost one needs a retry
 # Covers about the retry window of 10 s plus the stop limit of 6 s.
 SHARE_WINDOW_S = 15.0
-MAX_ADDRESSES = 64  # limit of the platform
 CORE_S_PER_SEND = 0.0003  # processor time of a send, see docs/CAPACITY.md
 
 _DEMAND_SMOOTHING = 0.2  # a value's weight halves in three heartbeats
@@ -73,6 +74,7 @@
       collections.deque()
     )
     self._last_send_count = 0
+    self._directory = directory.EntryDirectory(members)
     self._last_topology_inputs: tuple[tuple[str, str, float], ...] = ()
     self._topology = topology.Topology(is_hub=True, neighbours=())
     self._tokens = tokens.TokenExchange(
@@ -139,13 +141,8 @@
 
     Args:
       now: Monotonic time.
-
-    Returns:
-      At most ``MAX_ADDRESSES`` addresses, IP:port.
     """
-    serving = self._members.list_serving(now)
-    entry_nodes = topology.choose_entry_nodes(serving, _sum_demand(serving))
-    return [member.caller_address for member in entry_nodes[:MAX_ADDRESSES]]
+    return self._directory.list_addresses(self._topology.is_hub, now)
 
   async def handle_message(self, sender: str, message: Any) -> None:
     """Handles a message of another node.
@@ -200,6 +197,8 @@
     if heartbeat.node != sender or sender == self._members.own_member.node:
       return
     self._members.record_heartbeat(heartbeat, self._replica.revision)
+    if heartbeat.entry_addresses:
+      self._directory.record_report(sender, heartbeat.entry_addresses)
     self._network.connect(sender, heartbeat.peer_address)
     age_s = self._members.get_own_store_contact_age(now)
     is_stale = age_s is None or age_s > follower.MAX_STORE_AGE_S
@@ -280,7 +279,7 @@
       if now - seen_at < SHARE_WINDOW_S
     }
     recent = [member for member, _ in self._recent_members.values()]
-    demand = _sum_demand(self._members.list_serving(now))
+    demand = directory.sum_demand(self._members.list_serving(now))
     share = topology.compute_limit_share(
       own_member, [own_member, *recent], demand
     )
@@ -294,8 +293,12 @@
   def _send_heartbeats(
     self, targets: Iterable[membership.Member], now: Seconds
   ) -> None:
+    spokes = {member.node for member in self._topology.spokes}
+    entry_addresses = tuple(self.list_entry_addresses(now)) if spokes else ()
     for member in targets:
       heartbeat = self._make_heartbeat(member.node, now)
+      if member.node in spokes:
+        heartbeat = attrs.evolve(heartbeat, entry_addresses=entry_addresses)
       self._network.send(member.node, heartbeat)
 
   def _send_heartbeats_to_connected(self, now: Seconds) -> None:
@@ -317,7 +320,3 @@
     own_address = self._members.own_member.peer_address
     seeds = [seed for seed in self._seeds if seed != own_address]
     self._network.update_links(addresses, seeds)
-
-
-def _sum_demand(members: Iterable[membership.Member]) -> float:
-  return sum(member.demand for member in members)
--- a/packages/gateway/src/bronzefold/gateway/topology.py
+++ b/packages/gateway/src/bronzefold/gateway/topology.py
@@ -23,11 +23,11 @@
 _SIMILAR_CAPACITY_RATIO = 0.9
 # Nodes that are not entry nodes get only requests that skip the directory.
 _OTHER_NODE_WEIGHT = 0.1
-# An eighth of the store calls; more nodes for each hub would load hubs further.
-_NODES_PER_HUB = 8
-# One more than ``_MIN_ENTRY_NODES``, so that a spoke that knows only its
-# neighbours can still name enough entry nodes.
-_HUBS_PER_SPOKE = 4
+# A twelfth of the store calls; more nodes for each hub would load hubs further,
+# and fewer spokes would have their hubs in their own zone.
+_NODES_PER_HUB = 12
+_MIN_HUBS = 3  # two may fail at once
+_HUBS_PER_SPOKE = 3  # two may fail at once
 # Every hub is linked to every allocator, so this bounds a hub's further links.
 _MAX_ALLOCATORS = 8
 
@@ -157,7 +157,7 @@
 
 def _choose_hubs(members: Collection[Member]) -> list[Member]:
   """Chooses the largest nodes as hubs; ties are broken by a hash."""
-  count = -(-len(members) // _NODES_PER_HUB)
+  count = max(_MIN_HUBS, -(-len(members) // _NODES_PER_HUB))
   ordered = sorted(
     members, key=lambda m: (-m.capacity, hash_names(m.node, ""), m.node)
   )
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -88,6 +88,8 @@
       receiver; None if there is none.
     capacity: Processor cores that the node may use.
     demand: Processor cores that its requests use.
+    entry_addresses: Caller addresses of the entry nodes that a hub of a gateway
+      knows to be alive; empty in heartbeats to nodes that are not its spokes.
   """
 
   node: str
@@ -102,6 +104,7 @@
   echo: float | None
   capacity: float = 1.0
   demand: float = 0.0
+  entry_addresses: tuple[str, ...] = ()
 
 
 @register_message("sync_request")
