Decide on hedges in a module of their own, needed shards first

Callers saw: in trouble, searches that had already lost as many shards as they may were late or failed, while the budget of extra requests went to attempts that needed no hedge. Change: gateway/hedging.py. A shard that a search needs, or whose upstream is stalled, is hedged as before, the first kind from the whole budget. Others are hedged once they are late: at twice the 97th percentile, or when a hedge would no longer arrive in time. Load: searches over many shards whose upstreams pause.

--- a/packages/core/src/bronzefold/core/budgets.py
+++ b/packages/core/src/bronzefold/core/budgets.py
@@ -44,39 +44,45 @@
 
 
 class LatencyQuantile:
-  """Estimates a quantile of the most recent latencies."""
+  """Estimates quantiles of the most recent latencies."""
 
   def __init__(self, quantile: float) -> None:
     """Creates an estimator without samples.
 
     Args:
-      quantile: The quantile, 0 to 1.
+      quantile: The quantile that is returned if none is named, 0 to 1.
     """
     self._quantile = quantile
     self._samples: collections.deque[Seconds] = collections.deque(
       maxlen=_QUANTILE_SAMPLES
     )
     self._samples_since_refresh = 0
-    self._estimate: Seconds | None = None
+    self._ordered: list[Seconds] = []
 
   def record(self, latency_s: Seconds) -> None:
     """Adds a latency."""
     self._samples.append(latency_s)
     self._samples_since_refresh += 1
     if (
-      self._estimate is None
+      not self._ordered
       or self._samples_since_refresh >= _QUANTILE_REFRESH_SAMPLES
     ):
       self._refresh()
 
-  def get_estimate(self) -> Seconds | None:
-    """Returns the quantile, None without samples."""
-    return self._estimate
+  def get_estimate(self, quantile: float | None = None) -> Seconds | None:
+    """Returns a quantile, None without samples.
+
+    Args:
+      quantile: The quantile, 0 to 1; None for the one named at creation.
+    """
+    if not self._ordered:
+      return None
+    share = self._quantile if quantile is None else quantile
+    count = len(self._ordered)
+    return self._ordered[min(count - 1, int(count * share))]
 
   def _refresh(self) -> None:
-    ordered = sorted(self._samples)
-    index = min(len(ordered) - 1, int(len(ordered) * self._quantile))
-    self._estimate = ordered[index]
+    self._ordered = sorted(self._samples)
     self._samples_since_refresh = 0
 
 
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -17,6 +17,7 @@
 from bronzefold.core import budgets
 from bronzefold.core import clock
 from bronzefold.core.clock import Seconds
+from bronzefold.gateway import hedging
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
 from bronzefold.gateway import rollouts
@@ -24,16 +25,10 @@
 from bronzefold.gateway import sending
 from bronzefold.gateway import timing
 
-MIN_HEDGE_DELAY_S = 0.008  # below all observed latency quantiles
-# Share of the latency objective; the response to a later hedge would miss it.
-MAX_HEDGE_DELAY_SHARE = 0.5
-# Share of the latency objective, until the latency quantile has samples.
-INITIAL_HEDGE_DELAY_SHARE = 0.3
 MAX_NOT_RUN_ATTEMPTS = 3  # a service has two to four upstreams
 BUSY_RECHECK_DELAY_S = 0.005  # a quarter of a typical response time
 NO_UPSTREAM_RECHECK_DELAY_S = 0.05  # a fifth of an upstream's shortest backoff
 BUDGET_RECHECK_DELAY_S = 0.02  # short; the budget counts in slices of 0.5 s
-HEDGE_BUDGET_SHARE = 0.85  # with 0.6, 79 of 110 late shards had no hedge
 # Share of the expected latency; 1.0 withheld hedges that would have helped.
 MIN_TIME_LEFT_SHARE = 0.5
 # Ten round trips between zones; an allocator that takes longer is unreachable.
@@ -142,8 +137,12 @@
     self._wake = anyio.Event()
     # Tolerates rounding errors of ``min_coverage``.
     self._min_parts = math.ceil(route.min_coverage * len(self.shards) - 1e-9)
-    quantile = dependencies.latency_quantiles.get(route.name)
-    self._hedge_delay_s = _get_hedge_delay(route, quantile)
+    self._respond_at = timing.compute_response_time(request, route)
+    self._hedge_plan = hedging.plan_hedges(
+      route.latency_objective_s,
+      dependencies.latency_quantiles.get(route.name),
+      self._respond_at if route.shards else None,
+    )
 
   @property
   def served_shards(self) -> list[ShardRequest]:
@@ -156,7 +155,6 @@
     Args:
       now: Monotonic time.
     """
-    respond_at = timing.compute_response_time(self._request, self._route)
     self._token_deadline = now + MAX_TOKEN_WAIT_S
     try:
       for shard in self.shards:
@@ -166,14 +164,14 @@
       for shard in self.shards:
         if not shard.has_failed:
           self._send_first(shard, now)
-      while not self._is_decided(respond_at, now):
-        wake_at = self._get_wake_time(respond_at, now)
+      while not self._is_decided(now):
+        wake_at = self._get_wake_time(now)
         with anyio.move_on_after(max(0.0, wake_at - now)):
           await self._wake.wait()
         self._wake = anyio.Event()
         now = clock.read_monotonic()
         self._process_ended_attempts(now)
-        self._send_due(respond_at, now)
+        self._send_due(now)
     finally:
       self._abandon_pending()
 
@@ -233,16 +231,14 @@
       return 0.0
     return selection.get_token_wait(usable, now)
 
-  def _is_decided(self, respond_at: Seconds, now: Seconds) -> bool:
+  def _is_decided(self, now: Seconds) -> bool:
     """True once waiting longer is useless or not worth it.
 
     That is when all shards are finished, at the deadline, when the coverage
     can't be reached any more, or, for a search with enough coverage, when the
     latency objective is near.
     """
-    open_count = sum(
-      shard.part is None and not shard.has_failed for shard in self.shards
-    )
+    open_count = self._count_open_shards()
     part_count = len(self.served_shards)
     if not open_count or now >= self._deadline:
       return True
@@ -250,14 +246,19 @@
       return True
     return (
       bool(self._route.shards)
-      and now >= respond_at
+      and now >= self._respond_at
       and part_count >= self._min_parts
     )
 
-  def _get_wake_time(self, respond_at: Seconds, now: Seconds) -> Seconds:
+  def _count_open_shards(self) -> int:
+    return sum(
+      shard.part is None and not shard.has_failed for shard in self.shards
+    )
+
+  def _get_wake_time(self, now: Seconds) -> Seconds:
     times = [self._deadline]
-    if self._route.shards and respond_at > now:
-      times.append(respond_at)
+    if self._route.shards and self._respond_at > now:
+      times.append(self._respond_at)
     times.extend(
       shard.next_attempt_at for shard in self.shards if self._may_send(shard)
     )
@@ -274,7 +275,7 @@
       and len(shard.attempts) < self._route.max_attempts
     )
 
-  def _send_due(self, respond_at: Seconds, now: Seconds) -> None:
+  def _send_due(self, now: Seconds) -> None:
     """Sends first attempts and hedges whose time has come."""
     for shard in self.shards:
       if (
@@ -282,7 +283,7 @@
       ):
         continue
       if shard.attempts:
-        self._hedge(shard, respond_at, now)
+        self._hedge(shard, now)
       else:
         self._send_first(shard, now)
 
@@ -294,7 +295,7 @@
     usable, chosen = self._choose_upstream(shard, now)
     if chosen is not None:
       self._send(shard, chosen, now)
-      shard.next_attempt_at = now + self._hedge_delay_s
+      shard.next_attempt_at = now + self._hedge_plan.min_delay_s
     elif not usable:
       shard.has_failed = True
     else:
@@ -306,10 +307,18 @@
       else:
         shard.next_attempt_at = now + max(wait_s, BUSY_RECHECK_DELAY_S)
 
-  def _hedge(
-    self, shard: ShardRequest, respond_at: Seconds, now: Seconds
-  ) -> None:
-    """Sends a hedge if its response is likely to arrive in time."""
+  def _hedge(self, shard: ShardRequest, now: Seconds) -> None:
+    """Sends a hedge if it is due and likely to be answered in time."""
+    latest = shard.attempts[-1]
+    is_needed = hedging.is_needed(
+      len(self.served_shards), self._count_open_shards(), self._min_parts
+    )
+    hedge_at = self._hedge_plan.get_time(
+      latest.started_at, is_needed or latest.upstream.health.is_stalled(now)
+    )
+    if now < hedge_at - TIMER_SLACK_S:
+      shard.next_attempt_at = hedge_at
+      return
     usable, chosen = self._choose_upstream(shard, now)
     if chosen is None:
       self.withheld_counts[
@@ -323,15 +332,16 @@
       return
     default_s = selection.get_default_latency(usable)
     expected_s = chosen.health.estimate_latency(default_s, now)
-    if now < respond_at < now + MIN_TIME_LEFT_SHARE * expected_s:
+    if now < self._respond_at < now + MIN_TIME_LEFT_SHARE * expected_s:
       self.withheld_counts["hedge: too slow"] += 1
-      shard.next_attempt_at = respond_at
+      shard.next_attempt_at = self._respond_at
       return
     budget = self._dependencies.get_retry_budget(shard.service)
-    if budget.try_spend(now, HEDGE_BUDGET_SHARE):
+    budget_share = 1.0 if is_needed else hedging.OPTIONAL_BUDGET_SHARE
+    if budget.try_spend(now, budget_share):
       self._send(shard, chosen, now)
       self.hedge_count += 1
-      shard.next_attempt_at = now + self._hedge_delay_s
+      shard.next_attempt_at = now + self._hedge_plan.min_delay_s
     else:
       self.withheld_counts["hedge: budget"] += 1
       shard.next_attempt_at = now + BUDGET_RECHECK_DELAY_S
@@ -435,16 +445,3 @@
       for attempt in shard.attempts:
         if attempt.outcome is sending.Outcome.PENDING:
           self._dependencies.sender.abandon(attempt)
-
-
-def _get_hedge_delay(
-  route: model.Route, quantile: budgets.LatencyQuantile | None
-) -> Seconds:
-  """Returns how long a shard's attempt is pending before a hedge."""
-  estimate = quantile.get_estimate() if quantile is not None else None
-  if estimate is None:
-    return INITIAL_HEDGE_DELAY_SHARE * route.latency_objective_s
-  return min(
-    max(MIN_HEDGE_DELAY_S, estimate),
-    MAX_HEDGE_DELAY_SHARE * route.latency_objective_s,
-  )
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -16,6 +16,7 @@
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import changes
 from bronzefold.gateway import fanout
+from bronzefold.gateway import hedging
 from bronzefold.gateway import inventory
 from bronzefold.gateway import merges
 from bronzefold.gateway import model
@@ -29,7 +30,6 @@
 # A configuration must be in force within 3 s; 0.8 s pass between watches of the
 # store, the rest is a margin.
 MAX_PENDING_S = 1.4
-HEDGE_QUANTILE = 0.87  # hedges 13% of the sends; the limit is 20% extra
 MAX_RETRY_AFTER_S = 1.0  # a rate limit may end at any moment
 RETRY_AFTER_S = 0.05  # below the shortest latency objective in use, 56 ms
 NOT_READY_RETRY_AFTER_S = 0.3  # about as long as a node takes to start
@@ -287,7 +287,7 @@
     services = route.shards or (self._traffic_split.choose(route),)
     if route.name not in self._latency_quantiles:
       self._latency_quantiles[route.name] = budgets.LatencyQuantile(
-        HEDGE_QUANTILE
+        hedging.EARLIEST_QUANTILE
       )
     fan_out = fanout.FanOut(
       self._dependencies, request, route, services, deadline
