Order waiting requests by worth, and send refused ones again

Cause: a shard failed when no other replica could take its retry. Requests that waited for a connection looked again each 5 ms, in no order, and the route's priority was not used. Change: gateway/queueing.py orders the requests that wait: needed before optional shards, those that can still be in time before late ones, then by priority, which grows with the wait. A connection that becomes free is handed to the first; a new request does not overtake equal ones. A replica that refused a request gets it again after the time of one response, from the budget, if no other one can serve it. Load: above what the replicas of a shard accept.

--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -20,13 +20,18 @@
 from bronzefold.gateway import hedging
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
+from bronzefold.gateway import queueing
 from bronzefold.gateway import rollouts
 from bronzefold.gateway import selection
 from bronzefold.gateway import sending
 from bronzefold.gateway import timing
 
 MAX_NOT_RUN_ATTEMPTS = 3  # a service has two to four upstreams
-BUSY_RECHECK_DELAY_S = 0.005  # a quarter of a typical response time
+# Connections are offered to waiting requests when they become free. Only new
+# upstreams and raised limits are noticed by looking again.
+SLOT_RECHECK_DELAY_S = 0.1
+# Least pause before an upstream that refused a request gets it again.
+MIN_REFUSAL_PAUSE_S = 0.01
 NO_UPSTREAM_RECHECK_DELAY_S = 0.05  # a fifth of an upstream's shortest backoff
 BUDGET_RECHECK_DELAY_S = 0.02  # short; the budget counts in slices of 0.5 s
 # Share of the expected latency; 1.0 withheld hedges that would have helped.
@@ -47,6 +52,7 @@
     has_failed: True once no attempt is pending or succeeded and none will
       follow.
     next_attempt_at: Monotonic time at which sending is tried again.
+    waiter: Its place among the requests that wait for a connection, if any.
   """
 
   service: str
@@ -54,6 +60,7 @@
   part: model.UpstreamResponse | None = None
   has_failed: bool = False
   next_attempt_at: Seconds = math.inf
+  waiter: queueing.Waiter | None = None
 
   @property
   def has_pending(self) -> bool:
@@ -62,6 +69,14 @@
       attempt.outcome is sending.Outcome.PENDING for attempt in self.attempts
     )
 
+  @property
+  def run_count(self) -> int:
+    """Number of attempts that ran or may run."""
+    return sum(
+      attempt.outcome is not sending.Outcome.NOT_RUN
+      for attempt in self.attempts
+    )
+
   @property
   def may_have_run(self) -> bool:
     """True unless it is certain that no attempt ran."""
@@ -83,6 +98,7 @@
     get_retry_budget: Returns the budget of extra requests to a service.
     latency_quantiles: Latency quantiles by route name, for hedging.
     request_tokens: Requests tokens for an upstream with a rate limit.
+    slot_queues: Requests that wait for a connection.
   """
 
   sender: sending.Sender
@@ -92,6 +108,7 @@
   get_retry_budget: Callable[[str], budgets.WindowBudget]
   latency_quantiles: dict[str, budgets.LatencyQuantile]
   request_tokens: selection.RequestTokens
+  slot_queues: queueing.SlotQueues = attrs.field(factory=queueing.SlotQueues)
 
 
 class FanOut:
@@ -270,22 +287,29 @@
       return False
     if not shard.attempts:
       return True
+    if not shard.has_pending:
+      return self._may_retry(shard)
     return (
-      self._route.is_idempotent
-      and len(shard.attempts) < self._route.max_attempts
+      self._route.is_idempotent and shard.run_count < self._route.max_attempts
     )
 
   def _send_due(self, now: Seconds) -> None:
-    """Sends first attempts and hedges whose time has come."""
+    """Sends the attempts whose time has come."""
     for shard in self.shards:
       if (
         not self._may_send(shard) or now < shard.next_attempt_at - TIMER_SLACK_S
       ):
         continue
-      if shard.attempts:
-        self._hedge(shard, now)
-      else:
-        self._send_first(shard, now)
+      self._send_next(shard, now)
+
+  def _send_next(self, shard: ShardRequest, now: Seconds) -> None:
+    """Sends the first attempt, a hedge, or a retry."""
+    if not shard.attempts:
+      self._send_first(shard, now)
+    elif shard.has_pending:
+      self._hedge(shard, now)
+    else:
+      self._retry(shard, now)
 
   def _send_first(self, shard: ShardRequest, now: Seconds) -> None:
     """Sends the first attempt, or waits while all usable upstreams are busy.
@@ -293,9 +317,8 @@
     The shard fails if no upstream is usable.
     """
     usable, chosen = self._choose_upstream(shard, now)
-    if chosen is not None:
+    if chosen is not None and not self._must_wait(shard, now):
       self._send(shard, chosen, now)
-      shard.next_attempt_at = now + self._hedge_plan.min_delay_s
     elif not usable:
       shard.has_failed = True
     else:
@@ -305,7 +328,50 @@
         self.token_wait_s = wait_s
         shard.has_failed = True
       else:
-        shard.next_attempt_at = now + max(wait_s, BUSY_RECHECK_DELAY_S)
+        self._wait_for_slot(shard, wait_s, now)
+
+  def _must_wait(self, shard: ShardRequest, now: Seconds) -> bool:
+    """True if a request that waits for a connection precedes a new one."""
+    if shard.waiter is not None:
+      return False
+    waiter = self._make_waiter(shard, now)
+    return self._dependencies.slot_queues.must_wait(waiter, now)
+
+  def _wait_for_slot(
+    self, shard: ShardRequest, token_wait_s: Seconds, now: Seconds
+  ) -> None:
+    """Waits for a free connection, or for a token of a rate limit."""
+    if shard.waiter is None:
+      self.withheld_counts["waited for a connection"] += 1
+      shard.waiter = self._make_waiter(shard, now)
+      self._dependencies.slot_queues.add(shard.waiter)
+    shard.next_attempt_at = now + (token_wait_s or SLOT_RECHECK_DELAY_S)
+
+  def _make_waiter(self, shard: ShardRequest, now: Seconds) -> queueing.Waiter:
+    return queueing.Waiter(
+      shard.service,
+      self._route.priority,
+      is_optional=bool(shard.attempts)
+      or len(self.served_shards) >= self._min_parts > 0,
+      latency_objective_s=self._route.latency_objective_s,
+      latest_start_at=self._respond_at - self._hedge_plan.min_delay_s,
+      since=now,
+      accept=lambda offered_at: self._accept_slot(shard, offered_at),
+    )
+
+  def _accept_slot(self, shard: ShardRequest, now: Seconds) -> bool:
+    """Uses a connection that became free; returns False if it is not used."""
+    if not self._may_send(shard):
+      return False
+    attempt_count = len(shard.attempts)
+    self._send_next(shard, now)
+    self._wake.set()
+    return len(shard.attempts) > attempt_count
+
+  def _stop_waiting(self, shard: ShardRequest) -> None:
+    if shard.waiter is not None:
+      self._dependencies.slot_queues.discard(shard.waiter)
+      shard.waiter = None
 
   def _hedge(self, shard: ShardRequest, now: Seconds) -> None:
     """Sends a hedge if it is due and likely to be answered in time."""
@@ -320,15 +386,12 @@
       shard.next_attempt_at = hedge_at
       return
     usable, chosen = self._choose_upstream(shard, now)
+    if chosen is None and usable:
+      self._wait_for_slot(shard, selection.get_token_wait(usable, now), now)
+      return
     if chosen is None:
-      self.withheld_counts[
-        "hedge: busy" if usable else "hedge: no upstream"
-      ] += 1
-      shard.next_attempt_at = now + (
-        max(BUSY_RECHECK_DELAY_S, selection.get_token_wait(usable, now))
-        if usable
-        else NO_UPSTREAM_RECHECK_DELAY_S
-      )
+      self.withheld_counts["hedge: no upstream"] += 1
+      shard.next_attempt_at = now + NO_UPSTREAM_RECHECK_DELAY_S
       return
     default_s = selection.get_default_latency(usable)
     expected_s = chosen.health.estimate_latency(default_s, now)
@@ -341,22 +404,30 @@
     if budget.try_spend(now, budget_share):
       self._send(shard, chosen, now)
       self.hedge_count += 1
-      shard.next_attempt_at = now + self._hedge_plan.min_delay_s
     else:
       self.withheld_counts["hedge: budget"] += 1
       shard.next_attempt_at = now + BUDGET_RECHECK_DELAY_S
 
   def _retry(self, shard: ShardRequest, now: Seconds) -> None:
-    """Sends again after a failed attempt, if the budget allows it."""
-    _, chosen = self._choose_upstream(shard, now)
-    if chosen is None:
+    """Sends again after a failed attempt, if the budget allows it.
+
+    An upstream that refused the request gets it again after a pause if no other
+    one can. The shard fails if none will.
+    """
+    usable, chosen = self._choose_upstream(shard, now)
+    if chosen is None and usable:
+      self._wait_for_slot(shard, selection.get_token_wait(usable, now), now)
+    elif chosen is None:
       self.withheld_counts["retry: no upstream"] += 1
-      return
-    if self._dependencies.get_retry_budget(shard.service).try_spend(now):
+      shard.has_failed = not shard.has_pending
+    elif now < (resume_at := _get_resume_time(shard, chosen)) - TIMER_SLACK_S:
+      shard.next_attempt_at = resume_at
+    elif self._dependencies.get_retry_budget(shard.service).try_spend(now):
       self._send(shard, chosen, now)
       self.retry_count += 1
     else:
       self.withheld_counts["retry: budget"] += 1
+      shard.has_failed = not shard.has_pending
 
   def _process_ended_attempts(self, now: Seconds) -> None:
     ended, self._ended_attempts = self._ended_attempts, []
@@ -373,6 +444,7 @@
     attempt is pending.
     """
     if attempt.outcome is sending.Outcome.SERVED:
+      self._stop_waiting(shard)
       shard.part = attempt.response
       quantile = self._dependencies.latency_quantiles.get(self._route.name)
       if quantile is not None:
@@ -380,15 +452,13 @@
       return
     if self._may_retry(shard):
       self._retry(shard, now)
-    shard.has_failed = not shard.has_pending
+    else:
+      shard.has_failed = not shard.has_pending
 
   def _may_retry(self, shard: ShardRequest) -> bool:
-    may_have_run_count = sum(
-      a.outcome is not sending.Outcome.NOT_RUN for a in shard.attempts
-    )
-    not_run_count = len(shard.attempts) - may_have_run_count
+    not_run_count = len(shard.attempts) - shard.run_count
     if (
-      may_have_run_count >= self._route.max_attempts
+      shard.run_count >= self._route.max_attempts
       or not_run_count >= MAX_NOT_RUN_ATTEMPTS
     ):
       return False
@@ -397,17 +467,23 @@
   def _choose_upstream(
     self, shard: ShardRequest, now: Seconds
   ) -> tuple[list[inventory.Upstream], inventory.Upstream | None]:
-    """Returns the usable upstreams, and the one to send to if any is free."""
+    """Returns the usable upstreams, and the one to send to if any is free.
+
+    Those that refused the request are left only if there are no others.
+    """
     candidates = self._dependencies.upstreams.list_candidates(
       shard.service, now
     )
     tried = {attempt.upstream.instance.id for attempt in shard.attempts}
-    usable = self._dependencies.rollouts.filter_upstreams(
-      shard.service,
-      selection.list_usable(candidates, tried, now),
-      is_first_attempt=not tried,
-      now=now,
-    )
+    refused = {
+      attempt.upstream.instance.id
+      for attempt in shard.attempts
+      if attempt.is_refused
+    }
+    usable = self._filter_usable(shard, candidates, tried, now)
+    if not usable and refused and not shard.has_pending:
+      tried -= refused
+      usable = self._filter_usable(shard, candidates, tried, now)
     chosen = selection.choose_upstream(
       usable,
       tried,
@@ -417,9 +493,25 @@
     )
     return usable, chosen
 
+  def _filter_usable(
+    self,
+    shard: ShardRequest,
+    candidates: list[inventory.Upstream],
+    excluded: set[str],
+    now: Seconds,
+  ) -> list[inventory.Upstream]:
+    return self._dependencies.rollouts.filter_upstreams(
+      shard.service,
+      selection.list_usable(candidates, excluded, now),
+      is_first_attempt=not shard.attempts,
+      now=now,
+    )
+
   def _send(
     self, shard: ShardRequest, chosen: inventory.Upstream, now: Seconds
   ) -> None:
+    self._stop_waiting(shard)
+    shard.next_attempt_at = now + self._hedge_plan.min_delay_s
     if chosen.rate_limit is not None:
       chosen.rate_limit.spend(now)
     attempt = self._dependencies.sender.start(
@@ -439,9 +531,38 @@
     self._dependencies.rollouts.record_attempt(attempt, self._route.name, now)
     self._ended_attempts.append((shard, attempt))
     self._wake.set()
+    self._dependencies.slot_queues.offer(attempt.service, now)
 
   def _abandon_pending(self) -> None:
     for shard in self.shards:
+      self._stop_waiting(shard)
       for attempt in shard.attempts:
         if attempt.outcome is sending.Outcome.PENDING:
           self._dependencies.sender.abandon(attempt)
+
+
+def _get_resume_time(
+  shard: ShardRequest, upstream: inventory.Upstream
+) -> Seconds:
+  """Returns when an upstream that refused a request may get it again.
+
+  Args:
+    shard: The request.
+    upstream: The upstream.
+
+  Returns:
+    The monotonic time: once the upstream is likely to have finished another
+    request; 0 if it did not refuse this one.
+  """
+  refused_at = max(
+    (
+      attempt.ended_at
+      for attempt in shard.attempts
+      if attempt.is_refused and attempt.upstream is upstream
+    ),
+    default=None,
+  )
+  if refused_at is None:
+    return 0.0
+  latency_s = upstream.health.latency_s or 0.0
+  return refused_at + max(MIN_REFUSAL_PAUSE_S, latency_s)
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -82,6 +82,7 @@
     error: Why no response arrived.
     was_sent: True once bytes of the request may have left this node.
     is_abandoned: True once the response is no longer needed.
+    ended_at: Monotonic time of its end; 0 while it is pending.
     connection: The connection, once the request was written to it.
   """
 
@@ -94,8 +95,18 @@
   error: exceptions.BronzefoldError | None = None
   was_sent: bool = False
   is_abandoned: bool = False
+  ended_at: Seconds = 0.0
   connection: channel.Channel | None = None
 
+  @property
+  def is_refused(self) -> bool:
+    """True if its upstream received the request and did not run it."""
+    return (
+      self.outcome is Outcome.NOT_RUN
+      and self.response is not None
+      and not self.response.is_misdirected
+    )
+
 
 OnEnd = Callable[[Attempt], None]
 OnResponse = Callable[
@@ -273,6 +284,7 @@
     error: exceptions.BronzefoldError | None = None,
   ) -> None:
     attempt.outcome = outcome
+    attempt.ended_at = clock.read_monotonic()
     attempt.response = response
     attempt.error = error
     attempt.upstream.health.in_flight.pop(attempt.number, None)
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -89,7 +89,8 @@
 
 Behaviour = Callable[["Upstream", ReceivedRequest], UpstreamOutput]
 BEHAVIOURS: dict[str, Behaviour] = {}
-NOT_EXECUTING = {"shed"}  # behaviours that do not execute the request
+# Behaviours that do not execute the request, or do so themselves.
+NOT_EXECUTING = {"shed", "shed first"}
 
 
 def register_behaviour(name: str) -> Callable[[Behaviour], Behaviour]:
@@ -242,6 +243,20 @@
   return UpstreamOutput(format_response(503, {"Bronzefold-Not-Executed": "1"}))
 
 
+@register_behaviour("shed first")
+def _shed_first(upstream: Upstream, request: ReceivedRequest) -> UpstreamOutput:
+  """Sheds a request when it arrives for the first time."""
+  request_id = request.headers["bronzefold-request-id"]
+  arrivals = sum(
+    received.headers["bronzefold-request-id"] == request_id
+    for received in upstream.received_requests
+  )
+  if arrivals == 1:
+    return _shed(upstream, request)
+  upstream.executed_ids.append(request_id)
+  return UpstreamOutput(upstream.make_response(request))
+
+
 @register_behaviour("reset")
 def _reset(upstream: Upstream, request: ReceivedRequest) -> UpstreamOutput:
   del upstream, request
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -322,6 +322,26 @@
       self.assertLess(reply.took_s, 0.35)
     self.assertGreaterEqual(len(second.executed_ids), 5)
 
+  def test_last_replica_gets_a_request_again_that_it_refused(self):
+    """A shard with one replica left, which is full for a moment."""
+    first, second = self.get_upstreams("s9")
+    self.site.stop_upstream(second)
+    first.behaviour = "shed first"
+    for _ in range(3):
+      reply = self.node.send("/search/x")
+      self.assertEqual(reply.headers["bronzefold-missing-parts"], "0")
+      self.assertLess(reply.took_s, 0.35)
+
+  def test_plain_request_is_sent_again_to_the_last_replica(self):
+    for number, upstream in enumerate(self.get_upstreams("shop")):
+      if number:
+        self.site.stop_upstream(upstream)
+      upstream.behaviour = "shed first"
+    for path in ("/plain/x", "/once/x"):
+      reply = self.node.send(path, request_id=path)
+      self.assertEqual((path, reply.status), (path, 200))
+      self.assertEqual(self.count_runs(path), 1)
+
   def test_connections_stay_within_the_limit(self):
     self.set_behaviour("shop", "serve", delay_s=0.1)
     threads = [
