Call a store that is down less often

Cause: every node, hub or spoke, called each 0.25 s to read and to renew its lease until the store returned. Leases of 4 s lapsed in an outage of 4 to 6 s, so that all nodes registered again. Change: pauses grow to 1 s for reads and 2 s for leases, at random times (gateway/backoff.py). Spokes whose hubs are alive leave the reading to them, and look ten times a second, all together, whether the store serves them. Leases last 8 s and are renewed each 2 s; heartbeats say who is alive. Load: an outage of the store, which all nodes notice at once.

--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Iterable
+import random
 from typing import Any
 
 import anyio
@@ -13,6 +14,7 @@
 from bronzefold.core import clock
 from bronzefold.core import evidence
 from bronzefold.core.clock import Seconds
+from bronzefold.gateway import backoff
 from bronzefold.gateway import directory
 from bronzefold.gateway import follower
 from bronzefold.gateway import gateway as gateways
@@ -31,6 +33,9 @@
 # With 1.9 s, nodes read the store themselves although their hubs worked (26
 # calls where the limit is 24).
 HUB_TIMEOUT_S = 2.4
+# Calls a second with which all spokes together look whether the store serves
+# them, while it serves none of their hubs.
+SPOKE_PROBES_PER_S = 10.0
 SYNC_RETRY_PAUSE_S = 0.4  # a reply takes a few ms; a lost one needs a retry
 # Covers about the retry window of 10 s plus the stop limit of 6 s.
 SHARE_WINDOW_S = 15.0
@@ -74,6 +79,7 @@
       collections.deque()
     )
     self._last_send_count = 0
+    self._store_probes = backoff.SharedProbes(SPOKE_PROBES_PER_S, HUB_TIMEOUT_S)
     self._directory = directory.EntryDirectory(members)
     self._last_topology_inputs: tuple[tuple[str, str, float], ...] = ()
     self._topology = topology.Topology(is_hub=True, neighbours=())
@@ -101,17 +107,30 @@
         await update_event.wait()
 
   def is_updated_by_hubs(self, now: Seconds) -> bool:
-    """True if this node is a spoke and a peer had a recent store contact.
+    """True if this node is a spoke and need not read the store itself.
 
-    Hubs then send this node the store's changes. A contact is recent for
-    ``HUB_TIMEOUT_S``.
+    Its hubs send it the store's changes while one of them had a contact in the
+    last ``HUB_TIMEOUT_S``. While they are alive and have none, the store is
+    likely to be down, and this node looks now and then whether it is.
 
     Args:
       now: Monotonic time.
     """
+    if self._topology.is_hub:
+      return False
     age_s = self._members.get_reported_store_contact_age(now)
-    return (
-      not self._topology.is_hub and age_s is not None and age_s < HUB_TIMEOUT_S
+    if age_s is not None and age_s < HUB_TIMEOUT_S:
+      self._store_probes.reset()
+      return True
+    own_age_s = self._members.get_own_store_contact_age(now)
+    if own_age_s is not None and own_age_s < HUB_TIMEOUT_S:
+      return False
+    hears_from_hub = any(
+      self._members.is_alive(hub, now) for hub in self._topology.hubs
+    )
+    node_count = len(self._members.list_others())
+    return hears_from_hub and not self._store_probes.try_start(
+      node_count, random.random(), now
     )
 
   def get_write_rank(self, now: Seconds) -> int | None:
--- a/packages/gateway/src/bronzefold/gateway/follower.py
+++ b/packages/gateway/src/bronzefold/gateway/follower.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import logging
+import random
 import secrets
 
 import anyio
@@ -14,6 +15,7 @@
 from bronzefold.core import events
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
+from bronzefold.gateway import backoff
 from bronzefold.gateway import replica
 from bronzefold.peers import membership
 
@@ -22,9 +24,13 @@
 # whether the store was restored.
 PROBE_WAIT_S = 0.01
 WATCH_PAUSE_S = 0.8  # each call has a cost; drains must be known within 3 s
-RETRY_PAUSE_S = 0.25  # four calls a second during an outage of the store
-LEASE_TTL_S = 4.0  # three renewals
-LEASE_RENEWAL_PERIOD_S = 1.3
+RETRY_PAUSE_S = 0.25
+# The platform's shortest limit for applying a configuration is 3 s.
+MAX_WATCH_RETRY_PAUSE_S = 1.0
+# Outlasts a short outage of the store, after which all nodes would register
+# again at once. Heartbeats show within ``HEARTBEAT_TIMEOUT_S`` who is alive.
+LEASE_TTL_S = 8.0
+LEASE_RENEWAL_PERIOD_S = 2.0
 MAX_STORE_AGE_S = 2.0  # two watch pauses and their calls
 HUB_CHECK_PERIOD_S = 0.4  # half a watch pause
 
@@ -59,6 +65,10 @@
     self._is_registered = False
     self._is_store_reachable = True
     self._is_leaving = False
+    self._watch_backoff = backoff.Backoff(
+      RETRY_PAUSE_S, MAX_WATCH_RETRY_PAUSE_S
+    )
+    self._lease_backoff = backoff.Backoff(RETRY_PAUSE_S, LEASE_RENEWAL_PERIOD_S)
 
   async def run_watch(self) -> None:
     """Applies the store's content and then its changes, until cancelled.
@@ -81,6 +91,7 @@
         ):
           await self._read_all()
         await self._read_changes(wait_s)
+        self._watch_backoff.record_success()
         wait_s = WATCH_WAIT_S
       except exceptions.HistoryGoneError as error:
         events.HISTORY_GONE.log(_logger, reason=error.detail)
@@ -88,7 +99,8 @@
       except exceptions.StoreError as error:
         self._record_store_failure(error)
         wait_s = PROBE_WAIT_S
-        await anyio.sleep(RETRY_PAUSE_S)
+        pause_s = self._watch_backoff.record_failure(random.random())
+        await anyio.sleep(pause_s)
         continue
       await anyio.sleep(WATCH_PAUSE_S)
 
@@ -107,8 +119,10 @@
         continue
       except exceptions.StoreError as error:
         self._record_store_failure(error)
-        await anyio.sleep(RETRY_PAUSE_S)
+        pause_s = self._lease_backoff.record_failure(random.random())
+        await anyio.sleep(pause_s)
         continue
+      self._lease_backoff.record_success()
       await anyio.sleep(LEASE_RENEWAL_PERIOD_S)
 
   async def leave(self) -> None:
