Keep waits for tokens out of the queue, and bound a backoff's power

Seen when reading: a request that waits for a token of a rate limit stood in the queue for connections, so that a later one which found a token waited 0.1 s behind it; a retry that its search needs counted as optional; a request whose shard had failed stayed in the queue; and after 1,024 failures in a row, some half an hour of an outage, the pause could not be computed and the task that reads the store failed. Evidence: tests.test_backoff, test_outage_of_hours failed (OverflowError).

--- a/packages/gateway/src/bronzefold/gateway/backoff.py
+++ b/packages/gateway/src/bronzefold/gateway/backoff.py
@@ -10,7 +10,7 @@
 
 from bronzefold.core.clock import Seconds
 
-_GROWTH = 2.0
+_MAX_DOUBLINGS = 16  # the power of a large number would not be a float
 _MIN_JITTER_SHARE = 0.5
 
 
@@ -42,7 +42,8 @@
     Returns:
       The pause until the next call, in seconds.
     """
-    longest_s = min(self.max_s, self.first_s * _GROWTH**self.failures)
+    doublings = min(self.failures, _MAX_DOUBLINGS)
+    longest_s = min(self.max_s, self.first_s * 2.0**doublings)
     self.failures += 1
     return longest_s * (
       _MIN_JITTER_SHARE + (1.0 - _MIN_JITTER_SHARE) * random_share
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -340,18 +340,21 @@
   def _wait_for_slot(
     self, shard: ShardRequest, token_wait_s: Seconds, now: Seconds
   ) -> None:
-    """Waits for a free connection, or for a token of a rate limit."""
+    """Waits for a token of a rate limit, or in the queue for a connection."""
+    if token_wait_s > 0.0:
+      shard.next_attempt_at = now + token_wait_s
+      return
     if shard.waiter is None:
       self.withheld_counts["waited for a connection"] += 1
       shard.waiter = self._make_waiter(shard, now)
       self._dependencies.slot_queues.add(shard.waiter)
-    shard.next_attempt_at = now + (token_wait_s or SLOT_RECHECK_DELAY_S)
+    shard.next_attempt_at = now + SLOT_RECHECK_DELAY_S
 
   def _make_waiter(self, shard: ShardRequest, now: Seconds) -> queueing.Waiter:
     return queueing.Waiter(
       shard.service,
       self._route.priority,
-      is_optional=bool(shard.attempts)
+      is_optional=shard.has_pending
       or len(self.served_shards) >= self._min_parts > 0,
       latency_objective_s=self._route.latency_objective_s,
       latest_start_at=self._respond_at - self._hedge_plan.min_delay_s,
@@ -362,6 +365,7 @@
   def _accept_slot(self, shard: ShardRequest, now: Seconds) -> bool:
     """Uses a connection that became free; returns False if it is not used."""
     if not self._may_send(shard):
+      self._stop_waiting(shard)
       return False
     attempt_count = len(shard.attempts)
     self._send_next(shard, now)
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -36,6 +36,11 @@
     )
     self.assertLess(fullest, NODES / 5)
 
+  def test_outage_of_hours(self):
+    state = backoff.Backoff(0.25, 2.0)
+    pauses = [state.record_failure(1.0) for _ in range(5000)]
+    self.assertEqual(pauses[-1], 2.0)
+
   def test_success_starts_anew(self):
     state = backoff.Backoff(0.25, 2.0)
     for _ in range(6):
