Tests: a late copy of a response, and a removed upstream's requests

A copy of an earlier response that arrives, whole or in part, before the response to the next request on its connection is not given to that request. A request to an upstream whose registration lapsed goes on, and the upstream is used again once it reports.

--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -225,6 +225,44 @@
     await asyncio.sleep(0)
     return outcome
 
+  def test_late_copy_of_a_response_is_not_given_to_the_next_request(self):
+    """An upstream sends its response again once the connection is in use."""
+    for cut in range(len(_STRAY_RESPONSE) + 1):
+      with self.subTest(arrived_before_the_next_request=cut):
+        conn, outcome = asyncio.run(self.repeat_response(cut))
+        self.assertFalse(conn.reusable)
+        if cut:  # bytes that belong to no request close the connection
+          self.assertIsInstance(
+            outcome.exception(), exceptions.ConnectionLostError
+          )
+        else:
+          self.assertEqual(outcome.result().get_header(b"x-id"), b"mine")
+
+  async def repeat_response(self, cut):
+    """Serves a request, and repeats its response before that to the next one.
+
+    Args:
+      cut: Number of bytes of the copy that arrive before the next request.
+
+    Returns:
+      The channel and the future of the second response.
+    """
+    conn = channel.Channel()
+    conn.connection_made(_Transport())
+    first = conn.start(
+      b"GET / HTTP/1.1\r\n\r\n",
+      lambda response: response.get_header(b"x-id") == b"else",
+    )
+    conn.data_received(_STRAY_RESPONSE)
+    self.assertTrue(first.done())
+    if cut:
+      conn.data_received(_STRAY_RESPONSE[:cut])
+    outcome = conn.start(b"GET / HTTP/1.1\r\n\r\n", is_response_to_request)
+    if not outcome.done():
+      conn.data_received(_STRAY_RESPONSE[cut:] + _RESPONSE)
+    await asyncio.sleep(0)
+    return conn, outcome
+
   def test_response_without_length_ends_with_connection(self):
     without_length = b"HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nbody"
     _, outcome = asyncio.run(run_exchange([without_length]))
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -45,6 +45,21 @@
     self.inventory.register(make_instance("i"), 14.0)
     self.assertEqual(self.list_ids(14.0), ["i"])
 
+  def test_silent_upstream_keeps_its_requests_after_its_removal(self):
+    """Its registration lapsed since it was slow to report."""
+    self.inventory.register(make_instance("i"), 10.0)
+    (upstream,) = self.inventory.list_candidates("s", 10.0)
+    upstream.health.in_flight[1] = 10.0
+    self.inventory.unregister("i", 11.0)
+    self.inventory.expire(100.0, 30.0)
+    self.assertIs(self.inventory.find("i"), upstream)
+    self.inventory.register(make_instance("i"), 101.0)
+    self.assertEqual(self.list_ids(101.0), ["i"])
+    upstream.health.in_flight.clear()
+    self.inventory.unregister("i", 102.0)
+    self.inventory.expire(200.0, 30.0)
+    self.assertIsNone(self.inventory.find("i"))
+
   def test_restart_under_same_id_resets_health(self):
     self.inventory.register(make_instance("i", born_ms=1), 10.0)
     (previous,) = self.inventory.list_candidates("s", 10.0)
