--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -1,6 +1,7 @@
 """Requests that wait for a connection while one replica of a shard is left."""
 
 import itertools
+import operator
 import random
 import unittest
 
@@ -107,15 +108,17 @@
         chosen.served_at = free_at = free_at + WORK_S
       elif upcoming is not None:
         free_at = upcoming.waiter.since
-    key = lambda demand: demand.waiter.priority  # noqa: E731
+    get_priority = operator.attrgetter("waiter.priority")
     return {
       priority: sum(
         demand.served_at is not None
         and demand.served_at <= demand.waiter.latest_start_at + WORK_S
         for demand in group
       )
-      / sum(1 for demand in arrivals if demand.waiter.priority == priority)
-      for priority, group in itertools.groupby(sorted(arrivals, key=key), key)
+      / sum(get_priority(demand) == priority for demand in arrivals)
+      for priority, group in itertools.groupby(
+        sorted(arrivals, key=get_priority), get_priority
+      )
     }
 
   def test_urgent_requests_are_in_time_and_others_not_starved(self):
