Wait for the last replies of a node that leaves

Cause: a node closes its link to one that has left when its registration ends, and ended all calls to it. The replies arrive on another connection than that news and may be read after it. Change: the calls wait 0.3 s for replies that are on their way. Evidence: tests.test_links.LeavingNodeTest, the first case failed with the same error. Its like: the gateway makes no calls to other nodes.

--- a/packages/peers/src/bronzefold/peers/links.py
+++ b/packages/peers/src/bronzefold/peers/links.py
@@ -31,6 +31,9 @@
 _ZMQ_HEARTBEAT_TIMEOUT_MS = 1500
 _DIGEST_BYTES = 16
 _MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+# A node that leaves has sent its last replies when its registration ends; they
+# arrive on another connection than the news of that.
+_LAST_REPLIES_WAIT_S = 0.3
 
 _REQUEST_TYPES = (messages.Call, messages.CallReply, messages.Cancel)
 
@@ -270,19 +273,31 @@
     self._tasks.start_soon(link.run)
 
   def disconnect(self, node: str) -> None:
-    """Closes the link to a node; its calls end with an unknown outcome."""
+    """Closes the link to a node.
+
+    Its calls end with an unknown outcome, unless their replies arrive within
+    ``_LAST_REPLIES_WAIT_S``.
+
+    Args:
+      node: Name of the node.
+    """
     link = self._links.pop(node, None)
     self._addresses.pop(node, None)
     if link is None:
       return
     self._closed_links_control_bytes += link.control_bytes_sent
     link.close()
-    error = exceptions.ConnectionLostError(
-      f"the link to node {node} was closed"
-    )
-    for pending_call in [
-      c for c in self._pending_calls.values() if c.node == node
-    ]:
+    pending_calls = [c for c in self._pending_calls.values() if c.node == node]
+    if pending_calls:
+      self._tasks.start_soon(self._fail_calls_later, pending_calls)
+
+  async def _fail_calls_later(self, pending_calls: list[_PendingCall]) -> None:
+    """Ends calls whose link was closed, if they get no reply."""
+    await anyio.sleep(_LAST_REPLIES_WAIT_S)
+    for pending_call in pending_calls:
+      error = exceptions.ConnectionLostError(
+        f"the link to node {pending_call.node} was closed"
+      )
       pending_call.finish(Error(error))
 
   def update_links(
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,7 +1,8 @@
-"""Tests of frames between nodes."""
+"""Tests of frames between nodes, and of calls whose link is closed."""
 
 import unittest
 
+import anyio
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
@@ -9,6 +10,7 @@
 from bronzefold import peers
 from bronzefold.core import exceptions
 from bronzefold.peers import messages
+from tests import fleet
 
 
 class FrameTest(unittest.TestCase):
@@ -63,5 +65,59 @@
         messages.decode_message(name, body)
 
 
+class LeavingNodeTest(unittest.IsolatedAsyncioTestCase):
+  """A node whose calls are in progress at another node that leaves."""
+
+  async def call_and_disconnect(self, response_delay_s):
+    """Returns the outcome of a call whose link closes after 0.05 s."""
+    caller_address, owner_address = (
+      f"127.0.0.1:{port}" for port in fleet.find_ports(2)
+    )
+    outcomes = []
+
+    async def ignore(sender, message):
+      del sender, message
+
+    async def respond(sender, message):
+      if isinstance(message, messages.Call):
+        await anyio.sleep(response_delay_s)
+        owner.send(sender, messages.CallReply(message.request, 0, status=200))
+
+    async def run_call():
+      call = messages.Call("r", "leaf", "/", b"{}", budget_s=5.0, priority=1)
+      outcomes.append(await caller.call("n0", call))
+
+    caller = peers.PeerNetwork(
+      peers.FrameCodec("fleet", "secret", "n2"), caller_address, ignore
+    )
+    owner = peers.PeerNetwork(
+      peers.FrameCodec("fleet", "secret", "n0"), owner_address, respond
+    )
+    async with anyio.create_task_group() as tasks:
+      tasks.start_soon(caller.run, tasks)
+      tasks.start_soon(owner.run, tasks)
+      await anyio.sleep(0.05)
+      caller.connect("n0", owner_address)
+      owner.connect("n2", caller_address)
+      await anyio.sleep(0.3)
+      tasks.start_soon(run_call)
+      await anyio.sleep(0.05)
+      caller.disconnect("n0")
+      with anyio.fail_after(3.0):
+        while not outcomes:
+          await anyio.sleep(0.01)
+      tasks.cancel_scope.cancel()
+    return outcomes[0]
+
+  async def test_response_on_its_way_arrives(self):
+    outcome = await self.call_and_disconnect(response_delay_s=0.1)
+    self.assertTrue(outcome.is_ok(), outcome)
+
+  async def test_call_without_a_response_ends_soon(self):
+    outcome = await self.call_and_disconnect(response_delay_s=60.0)
+    self.assertTrue(outcome.is_error())
+    self.assertIsInstance(outcome.error, exceptions.ConnectionLostError)
+
+
 if __name__ == "__main__":
   unittest.main()
