Let requests wait for connections to the upstreams that they may use only

Callers: while retries of a failing replica waited for a connection to the other one, new requests for the shard waited too, up to 100 ms, although the replica that they could use was free. Cause: the queue of a service did not know for which upstream a request waits. A free connection was offered to the first four, which declined it, and a new request had to wait behind any of higher rank. Evidence: found by reading. The new test fails when the queue ignores upstreams. Change: a waiting request names the upstreams that it may use, and looks again each 100 ms.

--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -317,7 +317,7 @@
     The shard fails if no upstream is usable.
     """
     usable, chosen = self._choose_upstream(shard, now)
-    if chosen is not None and not self._must_wait(shard, now):
+    if chosen is not None and not self._must_wait(shard, usable, chosen, now):
       self._send(shard, chosen, now)
     elif not usable:
       shard.has_failed = True
@@ -328,31 +328,44 @@
         self.token_wait_s = wait_s
         shard.has_failed = True
       else:
-        self._wait_for_slot(shard, wait_s, now)
+        self._wait_for_slot(shard, usable, now)
 
-  def _must_wait(self, shard: ShardRequest, now: Seconds) -> bool:
+  def _must_wait(
+    self,
+    shard: ShardRequest,
+    usable: list[inventory.Upstream],
+    chosen: inventory.Upstream,
+    now: Seconds,
+  ) -> bool:
     """True if a request that waits for a connection precedes a new one."""
     if shard.waiter is not None:
       return False
-    waiter = self._make_waiter(shard, now)
-    return self._dependencies.slot_queues.must_wait(waiter, now)
+    return self._dependencies.slot_queues.must_wait(
+      self._make_waiter(shard, usable, now), chosen.instance.id, now
+    )
 
   def _wait_for_slot(
-    self, shard: ShardRequest, token_wait_s: Seconds, now: Seconds
+    self, shard: ShardRequest, usable: list[inventory.Upstream], now: Seconds
   ) -> None:
     """Waits for a token of a rate limit, or in the queue for a connection."""
+    token_wait_s = selection.get_token_wait(usable, now)
     if token_wait_s > 0.0:
       shard.next_attempt_at = now + token_wait_s
       return
     if shard.waiter is None:
       self.withheld_counts["waited for a connection"] += 1
-      shard.waiter = self._make_waiter(shard, now)
+      shard.waiter = self._make_waiter(shard, usable, now)
       self._dependencies.slot_queues.add(shard.waiter)
+    else:
+      shard.waiter.upstream_ids = _get_ids(usable)
     shard.next_attempt_at = now + SLOT_RECHECK_DELAY_S
 
-  def _make_waiter(self, shard: ShardRequest, now: Seconds) -> queueing.Waiter:
+  def _make_waiter(
+    self, shard: ShardRequest, usable: list[inventory.Upstream], now: Seconds
+  ) -> queueing.Waiter:
     return queueing.Waiter(
       shard.service,
+      _get_ids(usable),
       self._route.priority,
       is_optional=shard.has_pending
       or len(self.served_shards) >= self._min_parts > 0,
@@ -391,7 +404,7 @@
       return
     usable, chosen = self._choose_upstream(shard, now)
     if chosen is None and usable:
-      self._wait_for_slot(shard, selection.get_token_wait(usable, now), now)
+      self._wait_for_slot(shard, usable, now)
       return
     if chosen is None:
       self.withheld_counts["hedge: no upstream"] += 1
@@ -420,7 +433,7 @@
     """
     usable, chosen = self._choose_upstream(shard, now)
     if chosen is None and usable:
-      self._wait_for_slot(shard, selection.get_token_wait(usable, now), now)
+      self._wait_for_slot(shard, usable, now)
     elif chosen is None:
       self.withheld_counts["retry: no upstream"] += 1
       shard.has_failed = not shard.has_pending
@@ -535,7 +548,9 @@
     self._dependencies.rollouts.record_attempt(attempt, self._route.name, now)
     self._ended_attempts.append((shard, attempt))
     self._wake.set()
-    self._dependencies.slot_queues.offer(attempt.service, now)
+    self._dependencies.slot_queues.offer(
+      attempt.service, attempt.upstream.instance.id, now
+    )
 
   def _abandon_pending(self) -> None:
     for shard in self.shards:
@@ -545,6 +560,10 @@
           self._dependencies.sender.abandon(attempt)
 
 
+def _get_ids(upstreams: Iterable[inventory.Upstream]) -> frozenset[str]:
+  return frozenset(upstream.instance.id for upstream in upstreams)
+
+
 def _get_resume_time(
   shard: ShardRequest, upstream: inventory.Upstream
 ) -> Seconds:
--- a/packages/gateway/src/bronzefold/gateway/queueing.py
+++ b/packages/gateway/src/bronzefold/gateway/queueing.py
@@ -15,19 +15,20 @@
 from bronzefold.core.clock import Seconds
 
 # Waiting requests to which a free connection is offered, at most. One declines
-# only if it has already tried the upstream or may not send any more.
+# only if it may not send any more, or if the upstream has become unusable.
 MAX_OFFERS = 4
 # Share of its latency objective after which a waiting request precedes new ones
 # of the next priority, so that the less urgent ones are served too.
 AGING_SHARE = 0.5
 
 
-@attrs.frozen(eq=False)
+@attrs.define(eq=False)
 class Waiter:
   """A request that waits for a connection to an upstream of a service.
 
   Attributes:
     service: Name of the service.
+    upstream_ids: Ids of the upstreams that it may use, as of its last look.
     priority: Priority of its route; 0 is the most urgent.
     is_optional: True if the caller can be answered without it.
     latency_objective_s: Latency objective of its route, in seconds.
@@ -39,6 +40,7 @@
   """
 
   service: str
+  upstream_ids: frozenset[str]
   priority: int
   is_optional: bool
   latency_objective_s: Seconds
@@ -82,35 +84,43 @@
     if waiter in waiters:
       waiters.remove(waiter)
 
-  def must_wait(self, waiter: Waiter, now: Seconds) -> bool:
-    """True if a request that waits precedes a new one.
+  def must_wait(self, waiter: Waiter, upstream_id: str, now: Seconds) -> bool:
+    """True if a request that waits precedes a new one at an upstream.
 
     Args:
       waiter: The new request.
+      upstream_id: Id of the upstream.
       now: Monotonic time.
     """
-    waiters = self._waiters.get(waiter.service)
+    waiters = self._list_waiters(waiter.service, upstream_id)
     if not waiters:
       return False
     rank = compute_rank(waiter, now)
     return any(compute_rank(other, now) <= rank for other in waiters)
 
-  def offer(self, service: str, now: Seconds) -> None:
+  def offer(self, service: str, upstream_id: str, now: Seconds) -> None:
     """Offers a connection that became free to the waiting requests in order.
 
     Args:
       service: Name of the service of the connection's upstream.
+      upstream_id: Id of that upstream.
       now: Monotonic time.
     """
-    waiters = self._waiters.get(service)
-    if not waiters:
-      return
+    waiters = self._list_waiters(service, upstream_id)
     ordered = sorted(waiters, key=lambda waiter: compute_rank(waiter, now))
     for waiter in ordered[:MAX_OFFERS]:
       if waiter.accept(now):
         self.discard(waiter)
         return
 
+  def _list_waiters(self, service: str, upstream_id: str) -> list[Waiter]:
+    """Lists the waiting requests that may use an upstream."""
+    return [
+      waiter
+      for waiter in self._waiters.get(service, ())
+      if upstream_id in waiter.upstream_ids
+    ]
+
   def count_waiting(self) -> int:
     """Counts the waiting requests of all services."""
     return sum(map(len, self._waiters.values()))
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -14,11 +14,14 @@
 class Demand:
   """A request that waits, and when it was served."""
 
-  def __init__(self, priority=1, since=0.0, is_optional=False):
+  def __init__(
+    self, priority=1, since=0.0, is_optional=False, upstream_ids=("a",)
+  ):
     self.served_at = None
     self.may_send = True
     self.waiter = queueing.Waiter(
       service="s",
+      upstream_ids=frozenset(upstream_ids),
       priority=priority,
       is_optional=is_optional,
       latency_objective_s=OBJECTIVE_S,
@@ -46,32 +49,43 @@
 
   def test_more_urgent_priority_first(self):
     plain, urgent = self.add(priority=2), self.add(priority=1)
-    self.queues.offer("s", 0.01)
+    self.queues.offer("s", "a", 0.01)
     self.assertEqual((plain.served_at, urgent.served_at), (None, 0.01))
 
   def test_needed_shard_before_one_that_can_be_left_out(self):
     optional = self.add(priority=0, is_optional=True)
     needed = self.add(priority=2)
-    self.queues.offer("s", 0.01)
+    self.queues.offer("s", "a", 0.01)
     self.assertEqual((optional.served_at, needed.served_at), (None, 0.01))
 
   def test_request_that_can_be_in_time_before_a_late_one(self):
     late = self.add(since=-0.15)
     timely = self.add(since=0.0)
-    self.queues.offer("s", 0.01)
+    self.queues.offer("s", "a", 0.01)
     self.assertEqual((late.served_at, timely.served_at), (None, 0.01))
 
   def test_new_request_does_not_overtake_equal_ones(self):
     self.add()
     newer = Demand(since=0.02)
-    self.assertTrue(self.queues.must_wait(newer.waiter, 0.02))
+    self.assertTrue(self.queues.must_wait(newer.waiter, "a", 0.02))
     more_urgent = Demand(priority=0, since=0.02)
-    self.assertFalse(self.queues.must_wait(more_urgent.waiter, 0.02))
+    self.assertFalse(self.queues.must_wait(more_urgent.waiter, "a", 0.02))
+
+  def test_request_that_waits_for_another_upstream_holds_up_nobody(self):
+    """Retries that wait for the other replica leave this one to new ones."""
+    retries = [self.add(upstream_ids=("b",)) for _ in range(6)]
+    newer = self.add(since=0.02, upstream_ids=("a", "b"))
+    newest = Demand(since=0.03, upstream_ids=("a", "b"))
+    self.queues.offer("s", "a", 0.03)
+    self.assertEqual(newer.served_at, 0.03)
+    self.assertEqual({demand.served_at for demand in retries}, {None})
+    self.assertFalse(self.queues.must_wait(newest.waiter, "a", 0.03))
+    self.assertTrue(self.queues.must_wait(newest.waiter, "b", 0.03))
 
   def test_connection_goes_on_to_the_next_if_one_declines(self):
     first, second = self.add(priority=0), self.add(priority=1)
     first.may_send = False
-    self.queues.offer("s", 0.01)
+    self.queues.offer("s", "a", 0.01)
     self.assertEqual(second.served_at, 0.01)
     self.assertEqual(self.queues.count_waiting(), 1)
 
@@ -79,7 +93,7 @@
     demand = self.add()
     self.queues.discard(demand.waiter)
     self.queues.discard(demand.waiter)
-    self.queues.offer("s", 0.01)
+    self.queues.offer("s", "a", 0.01)
     self.assertIsNone(demand.served_at)
 
 
