Rank a waiting shard by whether its search can still do without it

Callers: with one connection left to a shard, a search that reaches its least coverage without the shard could take it from one that then failed. Cause: whether a shard can be left out was decided when it began to wait, at which time no part has arrived, so it always counted as needed. Evidence: found by reading. tests.test_fanout and the new test of the queue fail on the code before. Change: a waiting shard is optional while the shards that do not wait suffice, looked up whenever a connection is offered.

--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -152,6 +152,7 @@
     self._token_deadline = deadline
     self._ended_attempts: list[tuple[ShardRequest, sending.Attempt]] = []
     self._wake = anyio.Event()
+    self._can_skip_waiting = False
     # Tolerates rounding errors of ``min_coverage``.
     self._min_parts = math.ceil(route.min_coverage * len(self.shards) - 1e-9)
     self._respond_at = timing.compute_response_time(request, route)
@@ -182,6 +183,7 @@
         if not shard.has_failed:
           self._send_first(shard, now)
       while not self._is_decided(now):
+        self._can_skip_waiting = self._compute_can_skip_waiting()
         wake_at = self._get_wake_time(now)
         with anyio.move_on_after(max(0.0, wake_at - now)):
           await self._wake.wait()
@@ -272,6 +274,16 @@
       shard.part is None and not shard.has_failed for shard in self.shards
     )
 
+  def _compute_can_skip_waiting(self) -> bool:
+    """True if enough shards can respond without those that wait.
+
+    A plain request needs its only shard.
+    """
+    hopeful_count = sum(
+      not shard.has_failed and shard.waiter is None for shard in self.shards
+    )
+    return hopeful_count >= self._min_parts > 0
+
   def _get_wake_time(self, now: Seconds) -> Seconds:
     times = [self._deadline]
     if self._route.shards and self._respond_at > now:
@@ -367,8 +379,7 @@
       shard.service,
       _get_ids(usable),
       self._route.priority,
-      is_optional=shard.has_pending
-      or len(self.served_shards) >= self._min_parts > 0,
+      is_optional=lambda: shard.has_pending or self._can_skip_waiting,
       latency_objective_s=self._route.latency_objective_s,
       latest_start_at=self._respond_at - self._hedge_plan.min_delay_s,
       since=now,
--- a/packages/gateway/src/bronzefold/gateway/queueing.py
+++ b/packages/gateway/src/bronzefold/gateway/queueing.py
@@ -30,7 +30,8 @@
     service: Name of the service.
     upstream_ids: Ids of the upstreams that it may use, as of its last look.
     priority: Priority of its route; 0 is the most urgent.
-    is_optional: True if the caller can be answered without it.
+    is_optional: Returns True if the caller can be answered without it, as far
+      as is known by then.
     latency_objective_s: Latency objective of its route, in seconds.
     latest_start_at: Monotonic time after which its caller's response would be
       late.
@@ -42,7 +43,7 @@
   service: str
   upstream_ids: frozenset[str]
   priority: int
-  is_optional: bool
+  is_optional: Callable[[], bool]
   latency_objective_s: Seconds
   latest_start_at: Seconds
   since: Seconds
@@ -65,7 +66,7 @@
   aging_s = max(1e-3, AGING_SHARE * waiter.latency_objective_s)
   is_late = now > waiter.latest_start_at
   priority = waiter.priority - (now - waiter.since) / aging_s
-  return waiter.is_optional, is_late, priority, waiter.latest_start_at
+  return waiter.is_optional(), is_late, priority, waiter.latest_start_at
 
 
 class SlotQueues:
--- /dev/null
+++ b/tests/test_fanout.py
@@ -0,0 +1,130 @@
+"""Fan-outs whose shards wait for a connection, without a network."""
+
+import types
+import unittest
+
+import anyio
+
+from bronzefold.core import budgets
+from bronzefold.core import clock
+from bronzefold.gateway import fanout
+from bronzefold.gateway import inventory
+from bronzefold.gateway import model
+from bronzefold.gateway import rollouts
+from bronzefold.gateway import sending
+
+BROKEN_CONNECTION = types.SimpleNamespace(
+  is_closed=True, reusable=False, expires_at=0.0, close=lambda: None
+)
+SERVED = model.UpstreamResponse(200, (), b"", seal=b"s")
+
+
+class ManualSender:
+  """Starts attempts that the test ends."""
+
+  def __init__(self):
+    self.pending = []
+
+  def start(self, request, upstream, _time_left_s, now, on_end):
+    upstream.pool.reserve()
+    attempt = sending.Attempt(upstream, upstream.instance.service, now)
+    self.pending.append((request, attempt, on_end))
+    return attempt
+
+  def abandon(self, attempt):
+    attempt.is_abandoned = True
+
+  def serve(self, service):
+    """Ends the attempts at a service with a response; frees its connection."""
+    ended = [item for item in self.pending if item[1].service == service]
+    for item in ended:
+      self.pending.remove(item)
+      _, attempt, on_end = item
+      attempt.upstream.pool.release(BROKEN_CONNECTION)
+      attempt.outcome = sending.Outcome.SERVED
+      attempt.response = SERVED
+      attempt.ended_at = clock.read_monotonic()
+      on_end(attempt)
+
+  def list_sent(self, service):
+    """Lists the ids of the requests in progress at a service."""
+    return [
+      request.id
+      for request, attempt, _ in self.pending
+      if attempt.service == service
+    ]
+
+
+class ScarceShardTest(unittest.IsolatedAsyncioTestCase):
+  """One connection to the shard "scarce", and any number to "ample"."""
+
+  async def asyncSetUp(self):
+    upstreams = inventory.Inventory(
+      lambda service: 1 if service == "scarce" else 100
+    )
+    now = clock.read_monotonic()
+    for service in ("scarce", "ample"):
+      instance = model.Instance(f"{service}-0", service, "10.0.0.1:1", "a")
+      upstreams.register(instance, now)
+    self.sender = ManualSender()
+    budget = budgets.WindowBudget(ratio=0.2, slack=50.0, window_s=10.0)
+    self.dependencies = fanout.Dependencies(
+      sender=self.sender,
+      upstreams=upstreams,
+      rollouts=rollouts.Rollouts(),
+      zone="a",
+      get_retry_budget=lambda _: budget,
+      latency_quantiles={},
+      request_tokens=lambda *_: None,
+    )
+
+  async def start_search(self, tasks, name, min_coverage):
+    """Starts a search over both shards."""
+    now = clock.read_monotonic()
+    route = model.Route(
+      name="r",
+      host="h",
+      prefix="/",
+      shards=("scarce", "ample"),
+      is_idempotent=True,
+      latency_objective_s=5.0,
+      max_attempts=2,
+      priority=1,
+      top_k=1,
+      min_coverage=min_coverage,
+    )
+    request = model.Request(
+      id=name,
+      method=b"GET",
+      host="h",
+      path="/",
+      target=b"/",
+      headers=(),
+      head_bytes=1,
+      body=b"",
+      received_at=now,
+      timeout_s=10.0,
+    )
+    fan_out = fanout.FanOut(
+      self.dependencies, request, route, route.shards, now + 10.0
+    )
+    tasks.start_soon(fan_out.run, now)
+    await anyio.sleep(0.02)
+
+  async def test_connection_goes_to_the_search_that_fails_without_it(self):
+    async with anyio.create_task_group() as tasks:
+      await self.start_search(tasks, b"first", 1.0)
+      self.assertEqual(self.sender.list_sent("scarce"), [b"first"])
+      await self.start_search(tasks, b"dispensable", 0.5)
+      await self.start_search(tasks, b"needed", 1.0)
+      self.assertEqual(self.dependencies.slot_queues.count_waiting(), 2)
+      self.sender.serve("scarce")
+      self.assertEqual(self.sender.list_sent("scarce"), [b"needed"])
+      self.sender.serve("scarce")
+      self.assertEqual(self.sender.list_sent("scarce"), [b"dispensable"])
+      self.sender.serve("scarce")
+      self.sender.serve("ample")
+
+
+if __name__ == "__main__":
+  unittest.main()
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -19,11 +19,12 @@
   ):
     self.served_at = None
     self.may_send = True
+    self.is_optional = is_optional
     self.waiter = queueing.Waiter(
       service="s",
       upstream_ids=frozenset(upstream_ids),
       priority=priority,
-      is_optional=is_optional,
+      is_optional=lambda: self.is_optional,
       latency_objective_s=OBJECTIVE_S,
       latest_start_at=since + OBJECTIVE_S - WORK_S,
       since=since,
@@ -82,6 +83,12 @@
     self.assertFalse(self.queues.must_wait(newest.waiter, "a", 0.03))
     self.assertTrue(self.queues.must_wait(newest.waiter, "b", 0.03))
 
+  def test_shard_that_becomes_dispensable_while_it_waits_gives_way(self):
+    first, second = self.add(), self.add(since=0.005)
+    first.is_optional = True
+    self.queues.offer("s", "a", 0.01)
+    self.assertEqual((first.served_at, second.served_at), (None, 0.01))
+
   def test_connection_goes_on_to_the_next_if_one_declines(self):
     first, second = self.add(priority=0), self.add(priority=1)
     first.may_send = False
