Name the node that changed in its log line

On-call saw: each line of the event node_changed named the node that wrote it, so nobody could tell which node had been registered. Cause: the field had the name of the one that the log handler adds to each line. Change: the field is called member.

--- a/packages/gateway/src/bronzefold/gateway/replica.py
+++ b/packages/gateway/src/bronzefold/gateway/replica.py
@@ -274,7 +274,7 @@
       prefix = f"{NODE_PREFIX}{name}/"
       if not any(key.startswith(prefix) for key in self._entries):
         self._members.unregister(name)
-        events.NODE_CHANGED.log(_logger, node=name, state="unregistered")
+        events.NODE_CHANGED.log(_logger, member=name, state="unregistered")
       return
     try:
       member = msgspec.json.decode(entry.value, type=membership.Member)
@@ -282,4 +282,4 @@
       events.ENTRY_REFUSED.log(_logger, key=entry.key, reason=str(error))
       return
     self._members.register(member)
-    events.NODE_CHANGED.log(_logger, node=name, state="registered")
+    events.NODE_CHANGED.log(_logger, member=name, state="registered")
