Register nodes without leases

Operators saw: the store is called most where nodes start, restart or lose it together: two writes and a read for each start, a renewal each 2 s for each node, and two writes of all nodes after an outage in which leases lapse. Cause: a lease stands for two things, the address of a node and that it is alive. Heartbeats already tell the latter. Change: an entry stays when its node stops. A restart at the same addresses writes nothing. Hubs remove the entry of a node that was silent for 20 s; one that was only paused or cut off registers again.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -224,6 +224,12 @@
   logging.WARNING,
   "Entries were ignored because this node has newer ones.",
 )
+NODE_REMOVED = _register(
+  716,
+  "node_removed",
+  logging.WARNING,
+  "This node removed the entry of a node that was silent.",
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -36,6 +36,10 @@
 # Calls a second with which all spokes together look whether the store serves
 # them, while it serves none of their hubs.
 SPOKE_PROBES_PER_S = 10.0
+# A watch of a store in which nothing changes takes 5 s.
+MAX_REMOVAL_CONTACT_AGE_S = 8.0
+# Nodes without hubs are many, and should not remove the same entries at once.
+MAX_SPOKE_REMOVAL_RANK = 16
 SYNC_RETRY_PAUSE_S = 0.4  # a reply takes a few ms; a lost one needs a retry
 # Covers about the retry window of 10 s plus the stop limit of 6 s.
 SHARE_WINDOW_S = 15.0
@@ -150,6 +154,44 @@
       for hub in self._topology.hubs
     )
 
+  def get_removal_rank(self, now: Seconds) -> int | None:
+    """Returns how many nodes remove entries of departed nodes before this one.
+
+    Hubs do, and a node that has lost all its hubs.
+
+    Args:
+      now: Monotonic time.
+
+    Returns:
+      The number of nodes; None if this node does not remove entries, or has not
+      reached the store lately, so that it may be the one that is cut off.
+    """
+    age_s = self._members.get_own_store_contact_age(now)
+    if age_s is None or age_s > MAX_REMOVAL_CONTACT_AGE_S:
+      return None
+    rank = self.get_write_rank(now)
+    if rank is not None:
+      return rank
+    if any(self._members.is_alive(hub, now) for hub in self._topology.hubs):
+      return None
+    own_hash = topology.hash_names(self._members.own_member.node, "")
+    return own_hash[0] % MAX_SPOKE_REMOVAL_RANK
+
+  def list_silent_nodes(self, now: Seconds) -> list[str]:
+    """Lists the neighbours that are not alive.
+
+    Args:
+      now: Monotonic time.
+
+    Returns:
+      Their names.
+    """
+    return [
+      member.node
+      for member in self._topology.neighbours
+      if not self._members.is_alive(member.node, now)
+    ]
+
   def leave(self, now: Seconds) -> None:
     """Announces to all neighbours that this node leaves."""
     self._members.set_state(membership.LEAVING)
@@ -196,7 +238,7 @@
     if self._replica.revision:
       self._update_share(now)
     self._send_heartbeats(self._topology.neighbours, now)
-    self._send_version_counts()
+    self._send_version_counts(now)
     if not self._topology.neighbours:
       self._send_heartbeats_to_connected(now)
     if not self._replica.revision:
@@ -234,14 +276,15 @@
     should_relay = self._topology.is_hub and sender not in self._topology.hubs
     self._gateway.rollouts.add_peer_counts(version_counts, should_relay, now)
 
-  def _send_version_counts(self) -> None:
+  def _send_version_counts(self, now: Seconds) -> None:
     """Sends new version counts: a hub to all linked hubs, others to one hub."""
     hubs = [
       member.node
       for member in self._topology.neighbours
       if member.node in self._topology.hubs
     ]
-    targets = hubs if self._topology.is_hub else hubs[:1]
+    alive_hubs = [hub for hub in hubs if self._members.is_alive(hub, now)]
+    targets = hubs if self._topology.is_hub else (alive_hubs or hubs)[:1]
     for version_counts in self._gateway.rollouts.pop_unsent_counts():
       counts = version_counts.counts
       samples = messages.Samples(
--- a/packages/gateway/src/bronzefold/gateway/follower.py
+++ b/packages/gateway/src/bronzefold/gateway/follower.py
@@ -1,14 +1,12 @@
-"""Follows the store's changes and keeps this node registered in the store."""
+"""Follows the store's changes."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 import logging
 import random
-import secrets
 
 import anyio
-import msgspec
 
 from bronzefold import store
 from bronzefold.core import clock
@@ -27,10 +25,6 @@
 RETRY_PAUSE_S = 0.25
 # The platform's shortest limit for applying a configuration is 3 s.
 MAX_WATCH_RETRY_PAUSE_S = 1.0
-# Outlasts a short outage of the store, after which all nodes would register
-# again at once. Heartbeats show within ``HEARTBEAT_TIMEOUT_S`` who is alive.
-LEASE_TTL_S = 8.0
-LEASE_RENEWAL_PERIOD_S = 2.0
 MAX_STORE_AGE_S = 2.0  # two watch pauses and their calls
 HUB_CHECK_PERIOD_S = 0.4  # half a watch pause
 
@@ -38,7 +32,7 @@
 
 
 class StoreFollower:
-  """The tasks of a node that call the store."""
+  """Keeps a node's replica of the store current."""
 
   def __init__(
     self,
@@ -47,7 +41,7 @@
     members: membership.Membership,
     is_updated_by_hubs: Callable[[Seconds], bool],
   ) -> None:
-    """Creates a follower; its ``run_`` methods are tasks.
+    """Creates a follower; ``run`` is a task.
 
     Args:
       client: Client of the store.
@@ -60,17 +54,12 @@
     self._replica = store_replica
     self._members = members
     self._is_updated_by_hubs = is_updated_by_hubs
-    self._lease_id: int | None = None
-    self._registration_key = self._make_registration_key()
-    self._is_registered = False
     self._is_store_reachable = True
-    self._is_leaving = False
     self._watch_backoff = backoff.Backoff(
       RETRY_PAUSE_S, MAX_WATCH_RETRY_PAUSE_S
     )
-    self._lease_backoff = backoff.Backoff(RETRY_PAUSE_S, LEASE_RENEWAL_PERIOD_S)
 
-  async def run_watch(self) -> None:
+  async def run(self) -> None:
     """Applies the store's content and then its changes, until cancelled.
 
     Does not read the store while hubs update this node. Each upstream reports
@@ -104,37 +93,6 @@
         continue
       await anyio.sleep(WATCH_PAUSE_S)
 
-  async def run_lease(self) -> None:
-    """Keeps this node registered until it leaves."""
-    while not self._is_leaving:
-      is_new = self._lease_id is None
-      try:
-        await self._renew_registration()
-      except exceptions.LeaseLapsedError:
-        events.LEASE_LAPSED.log(_logger, node=self._members.own_member.node)
-        self._lease_id = None
-        self._is_registered = False
-        if is_new:
-          await anyio.sleep(RETRY_PAUSE_S)
-        continue
-      except exceptions.StoreError as error:
-        self._record_store_failure(error)
-        pause_s = self._lease_backoff.record_failure(random.random())
-        await anyio.sleep(pause_s)
-        continue
-      self._lease_backoff.record_success()
-      await anyio.sleep(LEASE_RENEWAL_PERIOD_S)
-
-  async def leave(self) -> None:
-    """Revokes the lease, which ends the registration."""
-    self._is_leaving = True
-    if self._lease_id is None:
-      return
-    try:
-      await self._client.revoke_lease(self._lease_id)
-    except exceptions.StoreError as error:
-      self._record_store_failure(error)
-
   async def _try_read_all(self) -> None:
     try:
       await self._read_all()
@@ -155,28 +113,6 @@
     self._replica.apply_changes(listing.entries, listing.revision, now)
     self._replica.expire(now)
 
-  async def _renew_registration(self) -> None:
-    """Renews the lease, and writes the registration if it is missing."""
-    if self._lease_id is None:
-      self._lease_id = (await self._client.create_lease(LEASE_TTL_S)).lease
-    else:
-      await self._client.renew_lease(self._lease_id)
-    if self._is_registered or self._is_leaving:
-      return
-    value = msgspec.json.encode(self._members.own_member).decode()
-    try:
-      await self._client.put(self._registration_key, value, 0, self._lease_id)
-    except exceptions.ConflictError:
-      # An earlier write succeeded but its reply was lost. The entry may be
-      # bound to another lease, so the next write uses a new key.
-      self._registration_key = self._make_registration_key()
-      return
-    self._is_registered = True
-
-  def _make_registration_key(self) -> str:
-    node = self._members.own_member.node
-    return f"{replica.NODE_PREFIX}{node}/{secrets.token_hex(4)}"
-
   def _record_store_reply(self, asked_at: Seconds) -> None:
     self._members.record_store_contact(asked_at)
     if not self._is_store_reachable:
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -30,6 +30,7 @@
 from bronzefold.gateway import follower
 from bronzefold.gateway import gateway as gateways
 from bronzefold.gateway import model
+from bronzefold.gateway import registration
 from bronzefold.gateway import replica
 from bronzefold.gateway import sending
 from bronzefold.gateway import settings
@@ -127,6 +128,9 @@
     self._follower = follower.StoreFollower(
       store_client, store_replica, self._members, self._fleet.is_updated_by_hubs
     )
+    self._registrar = registration.Registrar(
+      store_client, store_replica, self._members, self._fleet
+    )
     self._writer = writer.RolloutWriter(
       store_client, self._gateway.rollouts, self._fleet, adapter.encode_record
     )
@@ -145,8 +149,8 @@
     self._tasks.start_soon(self._network.run, self._tasks)
     self._tasks.start_soon(supervision.supervise, self._fleet.run)
     self._tasks.start_soon(self._handle_signals)
-    self._tasks.start_soon(supervision.supervise, self._follower.run_watch)
-    self._tasks.start_soon(supervision.supervise, self._follower.run_lease)
+    self._tasks.start_soon(supervision.supervise, self._follower.run)
+    self._tasks.start_soon(supervision.supervise, self._registrar.run)
     self._tasks.start_soon(supervision.supervise, self._writer.run)
     self._tasks.start_soon(supervision.supervise, self._poll_settings)
     await self._server.serve(sockets=sockets)
@@ -196,7 +200,7 @@
     self._fleet.leave(now)
     self._gateway.answer_by = cut_at - ANSWER_MARGIN_S
     self._application.is_leaving = True
-    self._tasks.start_soon(self._follower.leave)
+    self._registrar.leave()
     await anyio.sleep(DIRECTORY_CACHE_WAIT_S)
     self._server.request_shutdown(cut_at)
 
--- a/packages/gateway/src/bronzefold/gateway/replica.py
+++ b/packages/gateway/src/bronzefold/gateway/replica.py
@@ -87,6 +87,10 @@
     until = self._restore_grace_until
     return until is not None and now >= until
 
+  def get_node_entry(self, node: str) -> store.Entry | None:
+    """Returns the entry of a node; None if it is not registered."""
+    return self._entries.get(NODE_PREFIX + node)
+
   def apply_listing(self, listing: store.Listing, now: Seconds) -> None:
     """Applies a listing of all entries of the store.
 
@@ -269,12 +273,10 @@
 
   def _apply_node(self, entry: store.Entry) -> None:
     """Registers or unregisters the node that an entry names."""
-    name = entry.key.removeprefix(NODE_PREFIX).partition("/")[0]
+    name = entry.key.removeprefix(NODE_PREFIX)
     if entry.value is None:
-      prefix = f"{NODE_PREFIX}{name}/"
-      if not any(key.startswith(prefix) for key in self._entries):
-        self._members.unregister(name)
-        events.NODE_CHANGED.log(_logger, member=name, state="unregistered")
+      self._members.unregister(name)
+      events.NODE_CHANGED.log(_logger, member=name, state="unregistered")
       return
     try:
       member = msgspec.json.decode(entry.value, type=membership.Member)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -123,6 +123,10 @@
     }
     self.write_settings()
     self.log_path = pathlib.Path(self.temporary_directory.name) / "log"
+    self.start()
+
+  def start(self) -> None:
+    """Starts the process; used again after it has ended."""
     with self.log_path.open("ab") as stream:
       self.popen = subprocess.Popen(
         [sys.executable, "-m", "bronzefold.platform"],
