Read the store through one hub of each zone

Cause: a watch that waits for changes for up to 5 s dates the contact with the store from its start, so with few changes spokes took their hubs for cut off after 2.4 s and read the store themselves. In their first seconds they read it too before their hubs had a chance to report. And each hub reads the store, although its neighbours do. Change: one hub of each zone reads the store, three at least, and the other hubs get its changes from two of these. Their watches wait for 0.5 s. A watch without changes dates from the end of its wait. A node that others are to update reads 1.6 s after its last read at the earliest. tests.test_contact plays up to 400 nodes; five of its cases fail if hubs state only their own contact.

--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -15,6 +15,7 @@
 from bronzefold.core import evidence
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import backoff
+from bronzefold.gateway import contact
 from bronzefold.gateway import directory
 from bronzefold.gateway import follower
 from bronzefold.gateway import gateway as gateways
@@ -25,14 +26,7 @@
 from bronzefold.peers import membership
 from bronzefold.peers import messages
 
-# With 0.4 s, traffic between zones cost 0.003 more of the benchmark's total
-# score.
-HEARTBEAT_PERIOD_S = 0.5
 HEARTBEAT_TIMEOUT_S = 1.3  # two heartbeat periods and the delay of a slow one
-# Covers the 0.8 s between watches, two heartbeat periods and 0.5 s of margin.
-# With 1.9 s, nodes read the store themselves although their hubs worked (26
-# calls where the limit is 24).
-HUB_TIMEOUT_S = 2.4
 # Calls a second with which all spokes together look whether the store serves
 # them, while it serves none of their hubs.
 SPOKE_PROBES_PER_S = 10.0
@@ -83,7 +77,9 @@
       collections.deque()
     )
     self._last_send_count = 0
-    self._store_probes = backoff.SharedProbes(SPOKE_PROBES_PER_S, HUB_TIMEOUT_S)
+    self._store_probes = backoff.SharedProbes(
+      SPOKE_PROBES_PER_S, contact.UPDATE_TIMEOUT_S
+    )
     self._directory = directory.EntryDirectory(members)
     self._last_topology_inputs: tuple[tuple[str, str, float], ...] = ()
     self._topology = topology.Topology(is_hub=True, neighbours=())
@@ -103,39 +99,31 @@
       now = clock.read_monotonic()
       if now >= due_at:
         self._run_periodic_work(now)
-        due_at = now + HEARTBEAT_PERIOD_S
+        due_at = now + contact.HEARTBEAT_PERIOD_S
       else:
-        self._send_heartbeats(self._topology.spokes, now)
+        self._send_heartbeats(self._topology.receivers, now)
       update_event = self._replica.update_event
       with anyio.move_on_after(max(0.0, due_at - now)):
         await update_event.wait()
 
-  def is_updated_by_hubs(self, now: Seconds) -> bool:
-    """True if this node is a spoke and need not read the store itself.
+  def must_read_store(self, now: Seconds) -> bool:
+    """Decides whether this node reads the store's changes itself.
 
-    Its hubs send it the store's changes while one of them had a contact in the
-    last ``HUB_TIMEOUT_S``. While they are alive and have none, the store is
-    likely to be down, and this node looks now and then whether it is.
+    While the store seems to be down, nodes look now and then whether it is.
 
     Args:
       now: Monotonic time.
     """
-    if self._topology.is_hub:
-      return False
-    age_s = self._members.get_reported_store_contact_age(now)
-    if age_s is not None and age_s < HUB_TIMEOUT_S:
-      self._store_probes.reset()
-      return True
-    own_age_s = self._members.get_own_store_contact_age(now)
-    if own_age_s is not None and own_age_s < HUB_TIMEOUT_S:
-      return False
-    hears_from_hub = any(
-      self._members.is_alive(hub, now) for hub in self._topology.hubs
-    )
-    node_count = len(self._members.list_others())
-    return hears_from_hub and not self._store_probes.try_start(
-      node_count, random.random(), now
-    )
+    must_read = contact.must_read(self._members, self._topology, now)
+    if must_read is None:
+      node_count = len(self._members.list_others())
+      return self._store_probes.try_start(node_count, random.random(), now)
+    self._store_probes.reset()
+    return must_read
+
+  def get_watch_wait(self) -> Seconds:
+    """Returns how long a watch of this node waits for a change."""
+    return contact.get_watch_wait(self._topology)
 
   def get_write_rank(self, now: Seconds) -> int | None:
     """Returns how many live hubs write records before this node.
@@ -166,7 +154,7 @@
       The number of nodes; None if this node does not remove entries, or has not
       reached the store lately, so that it may be the one that is cut off.
     """
-    age_s = self._members.get_own_store_contact_age(now)
+    age_s = self._members.get_store_contact_age(now)
     if age_s is None or age_s > MAX_REMOVAL_CONTACT_AGE_S:
       return None
     rank = self.get_write_rank(now)
@@ -316,7 +304,7 @@
     """Estimates how many processor cores this node's requests use."""
     sent = self._gateway.send_count - self._last_send_count
     self._last_send_count = self._gateway.send_count
-    current = sent * CORE_S_PER_SEND / HEARTBEAT_PERIOD_S
+    current = sent * CORE_S_PER_SEND / contact.HEARTBEAT_PERIOD_S
     previous = self._members.own_member.demand
     demand = previous + _DEMAND_SMOOTHING * (current - previous)
     self._members.set_demand(round(demand, 4))
@@ -369,7 +357,7 @@
       self._network.send(node, self._make_heartbeat(node, now))
 
   def _make_heartbeat(self, receiver: str, now: Seconds) -> messages.Heartbeat:
-    age_s = self._members.get_own_store_contact_age(now)
+    age_s = contact.get_stated_age(self._members, self._topology, now)
     return self._members.make_heartbeat(
       receiver, age_s, self._replica.effective_revision, 0, now
     )
--- a/packages/gateway/src/bronzefold/gateway/follower.py
+++ b/packages/gateway/src/bronzefold/gateway/follower.py
@@ -14,10 +14,10 @@
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import backoff
+from bronzefold.gateway import contact
 from bronzefold.gateway import replica
 from bronzefold.peers import membership
 
-WATCH_WAIT_S = 5.0  # rarely reached, since upstreams report more often
 # After a failure, the next watch returns at once, since its response tells
 # whether the store was restored.
 PROBE_WAIT_S = 0.01
@@ -26,7 +26,7 @@
 # The platform's shortest limit for applying a configuration is 3 s.
 MAX_WATCH_RETRY_PAUSE_S = 1.0
 MAX_STORE_AGE_S = 2.0  # two watch pauses and their calls
-HUB_CHECK_PERIOD_S = 0.4  # half a watch pause
+READ_CHECK_PERIOD_S = 0.4  # half a watch pause
 
 _logger = logging.getLogger(__name__)
 
@@ -39,7 +39,8 @@
     client: store.StoreClient,
     store_replica: replica.Replica,
     members: membership.Membership,
-    is_updated_by_hubs: Callable[[Seconds], bool],
+    must_read: Callable[[Seconds], bool],
+    get_watch_wait: Callable[[], Seconds],
   ) -> None:
     """Creates a follower; ``run`` is a task.
 
@@ -47,13 +48,15 @@
       client: Client of the store.
       store_replica: Replica to which changes are applied.
       members: The nodes of the fleet, this one included.
-      is_updated_by_hubs: Returns, for a monotonic time, whether hubs currently
-        send this node the store's changes.
+      must_read: Returns, for a monotonic time, whether this node reads the
+        store's changes, as no other node sends them.
+      get_watch_wait: Returns how long a watch waits for a change.
     """
     self._client = client
     self._replica = store_replica
     self._members = members
-    self._is_updated_by_hubs = is_updated_by_hubs
+    self._must_read = must_read
+    self._get_watch_wait = get_watch_wait
     self._is_store_reachable = True
     self._watch_backoff = backoff.Backoff(
       RETRY_PAUSE_S, MAX_WATCH_RETRY_PAUSE_S
@@ -62,32 +65,30 @@
   async def run(self) -> None:
     """Applies the store's content and then its changes, until cancelled.
 
-    Does not read the store while hubs update this node. Each upstream reports
-    about every 1.2 s; the pause between watches
-    batches many reports into one call.
+    The pause between watches batches the reports of many upstreams into one
+    call.
     """
-    wait_s = WATCH_WAIT_S
+    has_failed = False
     while True:
-      if self._replica.revision and self._is_updated_by_hubs(
-        clock.read_monotonic()
-      ):
-        self._replica.expire(clock.read_monotonic())
-        await anyio.sleep(HUB_CHECK_PERIOD_S)
+      now = clock.read_monotonic()
+      if self._replica.revision and not self._must_read(now):
+        self._replica.expire(now)
+        await anyio.sleep(READ_CHECK_PERIOD_S)
         continue
       try:
-        if not self._replica.revision or self._replica.needs_listing(
-          clock.read_monotonic()
-        ):
+        if not self._replica.revision or self._replica.needs_listing(now):
           await self._read_all()
-        await self._read_changes(wait_s)
+        else:
+          wait_s = PROBE_WAIT_S if has_failed else self._get_watch_wait()
+          await self._read_changes(wait_s)
         self._watch_backoff.record_success()
-        wait_s = WATCH_WAIT_S
+        has_failed = False
       except exceptions.HistoryGoneError as error:
         events.HISTORY_GONE.log(_logger, reason=error.detail)
         await self._try_read_all()
       except exceptions.StoreError as error:
         self._record_store_failure(error)
-        wait_s = PROBE_WAIT_S
+        has_failed = True
         pause_s = self._watch_backoff.record_failure(random.random())
         await anyio.sleep(pause_s)
         continue
@@ -108,13 +109,15 @@
   async def _read_changes(self, wait_s: Seconds) -> None:
     asked_at = clock.read_monotonic()
     listing = await self._client.watch("", self._replica.revision, wait_s)
-    self._record_store_reply(asked_at)
     now = clock.read_monotonic()
+    self._record_store_reply(
+      contact.date_watch(asked_at, wait_s, bool(listing.entries), now)
+    )
     self._replica.apply_changes(listing.entries, listing.revision, now)
     self._replica.expire(now)
 
-  def _record_store_reply(self, asked_at: Seconds) -> None:
-    self._members.record_store_contact(asked_at)
+  def _record_store_reply(self, reached_at: Seconds) -> None:
+    self._members.record_store_contact(reached_at)
     if not self._is_store_reachable:
       self._is_store_reachable = True
       events.PLATFORM_FOUND.log(_logger)
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -126,7 +126,11 @@
       node_settings.seed_peers,
     )
     self._follower = follower.StoreFollower(
-      store_client, store_replica, self._members, self._fleet.is_updated_by_hubs
+      store_client,
+      store_replica,
+      self._members,
+      self._fleet.must_read_store,
+      self._fleet.get_watch_wait,
     )
     self._registrar = registration.Registrar(
       store_client, store_replica, self._members, self._fleet
--- a/packages/gateway/src/bronzefold/gateway/topology.py
+++ b/packages/gateway/src/bronzefold/gateway/topology.py
@@ -1,4 +1,4 @@
-"""Roles of nodes and links between them: entry nodes, hubs and spokes.
+"""Roles of nodes and links between them: entry nodes, readers, hubs, spokes.
 
 All results are computed from the known nodes and their capacities, so nodes
 with the same knowledge compute the same topology without coordination.
@@ -23,10 +23,11 @@
 _SIMILAR_CAPACITY_RATIO = 0.9
 # Nodes that are not entry nodes get only requests that skip the directory.
 _OTHER_NODE_WEIGHT = 0.1
-# A twelfth of the store calls; more nodes for each hub would load hubs further,
-# and fewer spokes would have their hubs in their own zone.
+# More nodes for each hub would load hubs further, and fewer spokes would have
+# their hubs in their own zone.
 _NODES_PER_HUB = 12
 _MIN_HUBS = 3  # two may fail at once
+_READERS_PER_HUB = 2  # links of a hub that does not read the store itself
 _HUBS_PER_SPOKE = 3  # two may fail at once
 # Every hub is linked to every allocator, so this bounds a hub's further links.
 _MAX_ALLOCATORS = 8
@@ -37,17 +38,25 @@
   """Links of one node, planned from the nodes that it knows.
 
   Attributes:
-    is_hub: True if this node reads the store itself.
+    is_hub: True if this node has spokes.
+    is_reader: True if this hub reads the store itself.
     neighbours: Nodes with which this node exchanges heartbeats.
-    spokes: The neighbours that receive the store's changes from this node.
+    spokes: The neighbours of which this node is a hub.
+    receivers: The neighbours that get the store's changes from this node.
+    sources: Names of the neighbours that send it the store's changes.
     hubs: Names of all hubs.
+    readers: Names of the hubs that read the store.
     allocators: Names of the hubs that allocate tokens of rate limits.
   """
 
   is_hub: bool
   neighbours: tuple[Member, ...]
+  is_reader: bool = True
   spokes: tuple[Member, ...] = ()
+  receivers: tuple[Member, ...] = ()
+  sources: frozenset[str] = frozenset()
   hubs: frozenset[str] = frozenset()
+  readers: frozenset[str] = frozenset()
   allocators: frozenset[str] = frozenset()
 
 
@@ -55,9 +64,10 @@
   """Plans the links of a node.
 
   In a small fleet all nodes read the store and all are linked. In a large one
-  only hubs read the store, one for each ``_NODES_PER_HUB`` nodes, and each
-  other node is linked to some hubs. Entry nodes are also linked among
-  themselves, and so are hubs.
+  each node is linked to some hubs, one for each ``_NODES_PER_HUB`` nodes. One
+  hub of each zone reads the store, and sends its changes to other hubs. So the
+  store's load grows with the number of zones, not of nodes. Entry nodes are
+  also linked among themselves, and so are hubs.
 
   Args:
     own_member: This node.
@@ -74,6 +84,7 @@
     )
   entry_nodes = choose_entry_nodes(all_members)
   hubs = _choose_hubs(all_members)
+  readers = _choose_readers(hubs)
   linked = _list_linked_members(own_member, others, hubs)
   rings = [
     membership.choose_neighbours(
@@ -85,12 +96,20 @@
   allocators = hubs[:_MAX_ALLOCATORS]
   if own_member in hubs:
     rings.append(hubs if own_member in allocators else allocators)
+  spokes = linked if own_member in hubs else []
+  relays = _list_relays(own_member, hubs, readers)
+  sources = _list_sources(own_member, linked, hubs, readers)
+  rings += [relays, sources]
   names = {m.node for m in itertools.chain(linked, *rings)}
   return Topology(
     is_hub=own_member in hubs,
+    is_reader=own_member in readers,
     neighbours=tuple(member for member in others if member.node in names),
-    spokes=tuple(linked) if own_member in hubs else (),
+    spokes=tuple(spokes),
+    receivers=(*spokes, *relays),
+    sources=frozenset(member.node for member in sources),
     hubs=frozenset(member.node for member in hubs),
+    readers=frozenset(member.node for member in readers),
     allocators=frozenset(member.node for member in allocators),
   )
 
@@ -164,6 +183,49 @@
   return ordered[:count]
 
 
+def _choose_readers(hubs: Iterable[Member]) -> list[Member]:
+  """Chooses the first hub of each zone, and others up to ``_MIN_HUBS``."""
+  ordered = list(hubs)
+  by_zone = {hub.zone: hub for hub in reversed(ordered)}
+  firsts = [hub for hub in ordered if hub == by_zone[hub.zone]]
+  rest = [hub for hub in ordered if hub not in firsts]
+  return [*firsts, *rest[: max(0, _MIN_HUBS - len(firsts))]]
+
+
+def _list_relays(
+  own_member: Member, hubs: Iterable[Member], readers: Collection[Member]
+) -> list[Member]:
+  """Lists the hubs that get the store's changes from this node."""
+  if own_member not in readers:
+    return []
+  return [
+    hub
+    for hub in hubs
+    if hub not in readers and own_member in _choose_readers_of_hub(hub, readers)
+  ]
+
+
+def _list_sources(
+  own_member: Member,
+  linked: list[Member],
+  hubs: Collection[Member],
+  readers: Collection[Member],
+) -> list[Member]:
+  """Lists the nodes from which this node gets the store's changes."""
+  if own_member in readers:
+    return []
+  if own_member in hubs:
+    return _choose_readers_of_hub(own_member, readers)
+  return linked
+
+
+def _choose_readers_of_hub(
+  hub: Member, readers: Iterable[Member]
+) -> list[Member]:
+  """Chooses the readers of a hub, those of its zone first."""
+  return _choose_nearest(hub, readers)[:_READERS_PER_HUB]
+
+
 def _list_linked_members(
   own_member: Member, others: Iterable[Member], hubs: list[Member]
 ) -> list[Member]:
@@ -191,11 +253,15 @@
   Returns:
     Up to ``_HUBS_PER_SPOKE`` hubs.
   """
-  ranked = sorted(
-    hubs,
-    key=lambda hub: (hub.zone != spoke.zone, hash_names(hub.node, spoke.node)),
+  return _choose_nearest(spoke, hubs)[:_HUBS_PER_SPOKE]
+
+
+def _choose_nearest(node: Member, members: Iterable[Member]) -> list[Member]:
+  """Ranks members for a node by rendezvous hashing, those of its zone first."""
+  return sorted(
+    members,
+    key=lambda m: (m.zone != node.zone, hash_names(m.node, node.node)),
   )
-  return ranked[:_HUBS_PER_SPOKE]
 
 
 def hash_names(name: str, other_name: str) -> bytes:
