--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -152,6 +152,17 @@
     self.assertEqual(self.count_writes(), write_count)
     self.assertEqual(self.list_names(), {"n0", "n1", "n2"})
 
+  def test_new_node_sends_callers_to_no_registered_node_that_is_dead(self):
+    killed = self.nodes[1]
+    killed.popen.kill()
+    new = self.start("n3")
+    address = f"127.0.0.1:{killed.front_port}"
+    until = time.monotonic() + 3.0
+    while time.monotonic() < until:
+      self.assertNotIn(address, new.resolve_addresses())
+      time.sleep(0.1)
+    self.assertIn("n1", self.list_names())
+
   def test_departed_node_is_removed_and_a_paused_one_returns(self):
     killed, paused = self.nodes[1:]
     paused.popen.send_signal(signal.SIGSTOP)
