Unregister a node of an earlier build when its entry goes

Callers saw nothing. During a replacement of nodes one by one, a node of the build before, whose key has a nonce, stayed a member of newer nodes for ever if it never came back. Cause: the removal of its key was taken for that of a node called NAME/NONCE. Evidence: found by reading; test_older_build_that_is_gone_is_no_member failed. Change: the nonce is left out, and a node stays a member while it has a newer entry.

--- a/packages/gateway/src/bronzefold/gateway/replica.py
+++ b/packages/gateway/src/bronzefold/gateway/replica.py
@@ -273,8 +273,11 @@
 
   def _apply_node(self, entry: store.Entry) -> None:
     """Registers or unregisters the node that an entry names."""
-    name = entry.key.removeprefix(NODE_PREFIX)
+    # Nodes that register under a lease add a nonce to their key.
+    name = entry.key.removeprefix(NODE_PREFIX).partition("/")[0]
     if entry.value is None:
+      if self.get_node_entry(name) is not None:
+        return
       self._members.unregister(name)
       events.NODE_CHANGED.log(_logger, member=name, state="unregistered")
       return
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from bronzefold import store
 from bronzefold.gateway import changes
 from bronzefold.gateway import gateway as gateways
@@ -48,6 +50,43 @@
   return store.Listing(revision, tuple(entries))
 
 
+class NodeEntryTest(unittest.TestCase):
+  """Entries of nodes, also of those that register under a lease."""
+
+  def setUp(self):
+    members = membership.Membership(
+      membership.Member("n0", "a", "serving", "h:1", "h:5"), 2.0
+    )
+    gateway = gateways.Gateway(
+      NODE_SETTINGS, upstreams.UpstreamProtocol(), None
+    )
+    self.members = members
+    self.replica = replica.Replica(gateway, members, read_change)
+
+  def apply(self, revision, **values):
+    entries = [
+      store.Entry(f"bronzefold/nodes/{key}", value, revision)
+      for key, value in values.items()
+    ]
+    self.replica.apply_changes(entries, revision, 0.0)
+
+  def test_node_that_is_replaced_by_a_newer_build_stays_a_member(self):
+    member = membership.Member("n1", "a", "serving", "h:1", "h:5")
+    value = msgspec.json.encode(member).decode()
+    self.apply(1, **{"n1/ab12": value})
+    self.apply(2, n1=value)
+    self.apply(3, **{"n1/ab12": None})
+    self.assertEqual(self.members.list_others(), [member])
+    self.apply(4, n1=None)
+    self.assertEqual(self.members.list_others(), [])
+
+  def test_older_build_that_is_gone_is_no_member(self):
+    member = membership.Member("n1", "a", "serving", "h:1", "h:5")
+    self.apply(1, **{"n1/ab12": msgspec.json.encode(member).decode()})
+    self.apply(2, **{"n1/ab12": None})
+    self.assertEqual(self.members.list_others(), [])
+
+
 class SyncTest(unittest.TestCase):
   """A hub sends changes to a spoke."""
 
