Leave an entry to the process that took over its node's name later

Callers saw nothing yet. A process that had started with its entry in place wrote it again when another process of the same name had replaced it, so the older one won. Cause: only its own write counted as a time at which the entry was right. Evidence: found by reading; test_entry_of_a_process_that_took_over_later_stays failed. Change: an entry found with the right value counts too.

--- a/packages/gateway/src/bronzefold/gateway/registration.py
+++ b/packages/gateway/src/bronzefold/gateway/registration.py
@@ -54,7 +54,8 @@
   Args:
     entry: The node's entry as far as it is known; None if there is none.
     value: The value that the entry should have.
-    written_revision: Revision of this process's last write; 0 before the first.
+    written_revision: Revision at which the entry had that value last; 0 if it
+      never had while this process runs.
     known_revision: Store revision up to which entries are known; 0 if none are.
   """
   if not known_revision or written_revision > known_revision:
@@ -179,6 +180,8 @@
     node = self._members.own_member.node
     entry = self._replica.get_node_entry(node)
     value = encode_member(self._members.own_member)
+    if entry is not None and entry.value == value:
+      self._written_revision = max(self._written_revision, entry.revision)
     if self._is_leaving or not must_write_entry(
       entry, value, self._written_revision, self._replica.revision
     ):
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -4,11 +4,16 @@
 import json
 import signal
 import time
+import types
 import unittest
 
+import anyio
+import attrs
+
 from bronzefold import store
 from bronzefold.gateway import registration
 from bronzefold.gateway import rollouts
+from bronzefold.peers import membership
 from tests import gateways
 from tests.standins import site as sites
 
@@ -45,6 +50,46 @@
     self.assertFalse(self.must_write("other", written_revision=5))
 
 
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+  """A node that starts again and finds its entry."""
+
+  def setUp(self):
+    member = membership.Member("n0", "a", "serving", "h:1", "h:2")
+    value = registration.encode_member(member)
+    self.entry = store.Entry("bronzefold/nodes/n0", value, 5)
+    self.writes = []
+
+    async def put(*arguments):
+      self.writes.append(arguments)
+      return 9
+
+    self.registrar = registration.Registrar(
+      types.SimpleNamespace(put=put),
+      types.SimpleNamespace(revision=7, get_node_entry=lambda _: self.entry),
+      membership.Membership(member, 2.0),
+      types.SimpleNamespace(
+        list_silent_nodes=lambda _: [], get_removal_rank=lambda _: None
+      ),
+    )
+
+  async def check(self):
+    """Runs one check."""
+    with anyio.move_on_after(PERIOD_S / 10):
+      await self.registrar.run()
+
+  async def test_entry_of_a_process_that_took_over_later_stays(self):
+    await self.check()
+    self.entry = attrs.evolve(self.entry, value="other", revision=7)
+    await self.check()
+    self.assertEqual(self.writes, [])
+
+  async def test_entry_that_was_removed_later_is_written(self):
+    await self.check()
+    self.entry = None
+    await self.check()
+    self.assertEqual(len(self.writes), 1)
+
+
 class SilenceTest(unittest.TestCase):
   """Which nodes' entries are removed."""
 
