Send requests that must not run twice on connections in recent use only

Callers of non-idempotent routes got 502, which promises nothing, for requests that never ran, where an upstream had forgotten an idle connection. Cause: a request that is sent on such a connection is reset, and the node can't tell that from a reset while it runs. An idempotent one is sent again. Change: a connection that was idle for over 0.1 s is closed and a new one opened for such a request (core/defaults.py, for both cores). Idempotent requests use idle connections as before.

--- a/packages/core/src/bronzefold/core/defaults.py
+++ b/packages/core/src/bronzefold/core/defaults.py
@@ -32,6 +32,9 @@
 # one, since they may be older than the refusal.
 MIN_DRAINING_S = 5.0
 MAX_RECONNECT_DELAY_S = 0.1
+# An upstream may have dropped an idle connection. Whether a request that was
+# sent on it ran is then unknown, so one that must not run twice is lost.
+MAX_UNSAFE_IDLE_S = 0.1
 MAX_UPSTREAM_BODY_BYTES = 8 * 1024 * 1024
 # An upstream that announces a rate limit of 0 must still be asked when it
 # accepts more again, since only responses tell.
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -548,6 +548,7 @@
       self._deadline - now,
       now,
       lambda ended: self._handle_ended_attempt(shard, ended),
+      is_idempotent=self._route.is_idempotent,
     )
     shard.attempts.append(attempt)
 
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 import enum
 import itertools
+import math
 from typing import Protocol
 
 from anyio import abc
 import attrs
 
 from bronzefold.core import clock
+from bronzefold.core import defaults
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import inventory
@@ -142,6 +144,8 @@
     time_left_s: Seconds,
     now: Seconds,
     on_end: OnEnd,
+    *,
+    is_idempotent: bool,
   ) -> Attempt:
     """Starts an attempt.
 
@@ -151,13 +155,15 @@
       time_left_s: Time left until the request's deadline.
       now: Monotonic time.
       on_end: Called with the attempt once it has ended.
+      is_idempotent: True if the request may run more than once.
 
     Returns:
       The attempt, still pending.
     """
     attempt = Attempt(upstream, upstream.instance.service, now)
     upstream.health.in_flight[attempt.number] = now
-    idle_connection = upstream.pool.acquire_idle(now)
+    max_idle_s = math.inf if is_idempotent else defaults.MAX_UNSAFE_IDLE_S
+    idle_connection = upstream.pool.acquire_idle(now, max_idle_s)
     if idle_connection is not None:
       self._send(attempt, idle_connection, request, time_left_s, on_end)
     else:
--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 
 import attrs
 import httptools
@@ -55,6 +56,7 @@
     reusable: False once no other request may be sent, because the connection
       ends or bytes may follow that belong to no request.
     expires_at: Monotonic time after which an idle connection must not be used.
+    idle_since: Monotonic time of the end of the last exchange.
 
   Bytes that end neither a head nor a part of a body are bounded by
   ``MAX_HEAD_BYTES``, and a body by ``MAX_UPSTREAM_BODY_BYTES``.
@@ -63,6 +65,7 @@
   def __init__(self) -> None:
     self.reusable = True
     self.expires_at: Seconds = 0.0
+    self.idle_since: Seconds = 0.0
     self._loop = asyncio.get_running_loop()
     self._transport: asyncio.Transport | None = None
     self._parser = httptools.HttpResponseParser(self)
@@ -238,7 +241,8 @@
       if name == b"timeout" and value.isdigit():
         keep_alive_s = float(value)
     margin_s = min(_KEEP_ALIVE_MARGIN_S, keep_alive_s / 2)
-    self.expires_at = clock.read_monotonic() + keep_alive_s - margin_s
+    self.idle_since = clock.read_monotonic()
+    self.expires_at = self.idle_since + keep_alive_s - margin_s
 
   def _fail(self, error: exceptions.BronzefoldError) -> None:
     self.reusable = False
@@ -301,25 +305,33 @@
     """True while an idle connection exists or another may be opened."""
     return bool(self._idle) or self._in_use < self.limit
 
-  def acquire_idle(self, now: Seconds) -> Channel | None:
+  def acquire_idle(
+    self, now: Seconds, max_idle_s: Seconds = math.inf
+  ) -> Channel | None:
     """Removes and returns the idle connection that was used last.
 
-    Idle connections that are no longer usable are closed.
+    Idle connections that are no longer usable are closed. If the best one has
+    been idle for too long, it is closed to make room for a new one.
 
     Args:
       now: Monotonic time.
+      max_idle_s: Longest time for which the connection may have been idle, in
+        seconds.
 
     Returns:
-      The connection, None if none is idle.
+      The connection, None if none is idle that may be used.
     """
     while self._idle:
       channel = self._idle.pop()
-      if (
+      is_usable = (
         not channel.is_closed and channel.reusable and channel.expires_at > now
-      ):
+      )
+      if is_usable and now - channel.idle_since <= max_idle_s:
         self._in_use += 1
         return channel
       channel.close()
+      if is_usable:
+        break
     return None
 
   def reserve(self) -> None:
--- a/packages/upstreams/src/bronzefold/upstreams/connection.py
+++ b/packages/upstreams/src/bronzefold/upstreams/connection.py
@@ -72,6 +72,7 @@
     self._origin = httpcore.Origin(b"http", host.encode(), int(port))
     self._host_header = (b"host", address.encode())
     self._connection: httpcore.AsyncHTTPConnection | None = None
+    self._idle_since: clock.Seconds = 0.0
     self.opened = 0
 
   @property
@@ -125,6 +126,9 @@
   ) -> Result[Response, exceptions.BronzefoldError]:
     """Sends a request and reads the complete response.
 
+    An action is not sent on a connection that was idle for more than
+    ``MAX_UNSAFE_IDLE_S``; a new one is opened.
+
     Args:
       exchange: The request.
 
@@ -134,6 +138,9 @@
       after ``ConnectionLostError``, ``TimedOutError``,
       ``MalformedReplyError`` and ``UpstreamFailedError`` it may have run.
     """
+    idle_s = clock.read_monotonic() - self._idle_since
+    if exchange.key and idle_s > defaults.MAX_UNSAFE_IDLE_S:
+      await self.close()
     headers = [
       (messages.REQUEST_ID_HEADER, exchange.request.encode()),
       (messages.DEADLINE_HEADER, b"%d" % max(1, int(exchange.budget_s * 1e3))),
@@ -191,6 +198,7 @@
         body = await _read_body(response)
       await response.aclose()
       completed = True
+      self._idle_since = clock.read_monotonic()
     except exceptions.MalformedReplyError as error:
       return Error(error)
     except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 import contextlib
 import json
+import math
 import threading
 import time
 from typing import Any
@@ -114,6 +115,8 @@
     behaviour: Name of the behaviour, a key of ``BEHAVIOURS``.
     delay_s: Duration of the execution of a request, in seconds.
     zone: Availability zone.
+    max_idle_s: Connections that were idle for longer are reset when the next
+      request arrives, which is not executed.
     rate_limit: Value of the header in which it announces a rate limit; empty
       for none.
     port: Port of 127.0.0.1; 0 until it first listens.
@@ -133,6 +136,7 @@
   behaviour: str = "serve"
   delay_s: float = 0.002
   zone: str = "a"
+  max_idle_s: float = math.inf
   rate_limit: str = ""
   port: int = 0
   received_requests: list[ReceivedRequest] = attrs.field(factory=list)
@@ -169,11 +173,16 @@
     self.connections += 1
     self.peak_connections = max(self.peak_connections, self.connections)
     self.readers_by_writer[writer] = reader
+    idle_since = time.monotonic()
     try:
       while (request := await read_request(reader)) is not None:
         self.received_requests.append(request)
+        if time.monotonic() - idle_since > self.max_idle_s:
+          writer.transport.abort()
+          break
         if not await self._handle_request(request, writer):
           break
+        idle_since = time.monotonic()
     except (ConnectionError, asyncio.IncompleteReadError):
       pass
     finally:
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -25,7 +25,10 @@
   def __init__(self):
     self.pending = []
 
-  def start(self, request, upstream, _time_left_s, now, on_end):
+  def start(
+    self, request, upstream, _time_left_s, now, on_end, *, is_idempotent
+  ):
+    del is_idempotent
     upstream.pool.reserve()
     attempt = sending.Attempt(upstream, upstream.instance.service, now)
     self.pending.append((request, attempt, on_end))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -205,6 +205,23 @@
         replies = [self.node.send("/plain/x") for _ in range(5)]
         self.assertEqual({reply.body for reply in replies}, {b"shop1"})
 
+  def test_upstreams_that_forget_idle_connections(self):
+    """A request on a forgotten connection is reset, though it never ran."""
+    for upstream in self.get_upstreams("shop"):
+      upstream.max_idle_s = 0.3
+    for pause_s in (0.1, 0.25, 0.29, 0.31, 0.35, 0.5):
+      for path in ("/once/x", "/plain/x"):
+        with self.subTest(pause_s=pause_s, path=path):
+          method = "POST" if path == "/once/x" else "GET"
+          replies = [
+            self.node.send(
+              path, method=method, request_id=f"r-{pause_s}-{method}"
+            )
+          ]
+          time.sleep(pause_s)
+          replies.append(self.node.send(path, method=method))
+          self.assertEqual([reply.status for reply in replies], [200, 200])
+
   def test_response_without_length_is_relayed(self):
     self.set_behaviour("shop", "unframed")
     reply = self.node.send("/plain/x")
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -55,7 +55,12 @@
       )
       now = clock.read_monotonic()
       attempt = sender.start(
-        make_request(now), self.upstream, 5.0, now, lambda _: ended.set()
+        make_request(now),
+        self.upstream,
+        5.0,
+        now,
+        lambda _: ended.set(),
+        is_idempotent=True,
       )
       await anyio.sleep(0.05)
       sender.abandon(attempt)
