Tell refused callers when their shards may be served

Callers of shards without a usable replica were all told to return after 0.05 s, together and too early, and spent the few attempts of their deadline. Cause: a constant Retry-After. Change: Retry-After is the time until the first replica of the shards that the request needs is tried again, spread by half of it, urgent callers first.

--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -21,6 +21,7 @@
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
 from bronzefold.gateway import queueing
+from bronzefold.gateway import returns
 from bronzefold.gateway import rollouts
 from bronzefold.gateway import selection
 from bronzefold.gateway import sending
@@ -194,6 +195,26 @@
     finally:
       self._abandon_pending()
 
+  def estimate_return(self, random_share: float, now: Seconds) -> Seconds:
+    """Estimates when the caller of a refused request should return.
+
+    Args:
+      random_share: Random number from 0 to 1, so that callers which were
+        refused together do not return together.
+      now: Monotonic time.
+
+    Returns:
+      The time from now, in seconds.
+    """
+    unserved = [shard for shard in self.shards if shard.part is None]
+    upstreams = self._dependencies.upstreams
+    wait_s = returns.estimate_wait(
+      (upstreams.list_candidates(shard.service, now) for shard in unserved),
+      self._min_parts - len(self.served_shards),
+      now,
+    )
+    return returns.spread_return(wait_s, self._route.priority, random_share)
+
   async def _wait_for_tokens(self, now: Seconds) -> Seconds:
     """Waits until rate limits permit enough shards, or fails all shards.
 
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from typing import Protocol
 
 from anyio import abc
@@ -33,6 +34,8 @@
 MAX_RETRY_AFTER_S = 1.0  # a rate limit may end at any moment
 RETRY_AFTER_S = 0.05  # below the shortest latency objective in use, 56 ms
 NOT_READY_RETRY_AFTER_S = 0.3  # about as long as a node takes to start
+# Refusals for want of upstreams, whose return is estimated.
+_UNSERVED_OUTCOMES = frozenset({"coverage_too_small", "not_run"})
 # With 0.65, nodes had too few connections, which lowered the benchmark's score
 # by 0.01 on quiet days.
 CONNECTION_LIMIT_SHARE = 0.95
@@ -298,6 +301,11 @@
       if route.shards
       else _make_plain_response(fan_out)
     )
+    if response.outcome in _UNSERVED_OUTCOMES:
+      retry_after_s = fan_out.estimate_return(
+        random.random(), clock.read_monotonic()
+      )
+      response = attrs.evolve(response, retry_after_s=round(retry_after_s, 3))
     self._record_response(request, route, fan_out, response)
     return response
 
@@ -443,7 +451,7 @@
   if not parts or len(parts) < route.min_coverage * len(fan_out.shards) - 1e-9:
     if fan_out.token_wait_s:
       return _make_rate_limit_refusal(fan_out)
-    return _make_refusal("coverage_too_small", RETRY_AFTER_S)
+    return model.Response(503, outcome="coverage_too_small")
   missing = len(fan_out.shards) - len(parts)
   return model.Response(
     200,
@@ -466,7 +474,7 @@
   if not shard.may_have_run:
     if fan_out.token_wait_s:
       return _make_rate_limit_refusal(fan_out)
-    return _make_refusal("not_run", RETRY_AFTER_S)
+    return model.Response(503, outcome="not_run")
   if shard.has_pending:
     return model.Response(504, outcome="timed_out")
   return model.Response(502, outcome="answer_lost")
