--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -272,6 +272,13 @@
   return UpstreamOutput(resets_connection=True)
 
 
+@register_behaviour("mute")
+def _stay_mute(upstream: Upstream, request: ReceivedRequest) -> UpstreamOutput:
+  """Sends nothing and keeps the connection."""
+  del upstream, request
+  return UpstreamOutput()
+
+
 @register_behaviour("truncate")
 def _truncate(upstream: Upstream, request: ReceivedRequest) -> UpstreamOutput:
   return UpstreamOutput(
@@ -667,6 +674,10 @@
     """Stops an upstream without a drain; its registration stays."""
     self.call(self._stop_upstream(upstream))
 
+  def restart_upstream(self, upstream: Upstream) -> None:
+    """Starts a stopped upstream again at its address."""
+    self.call(self._start_upstream(upstream))
+
   async def _run_in_loop(
     self, function: Callable[..., Any], *values: Any
   ) -> Any:
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -38,6 +38,7 @@
   Attributes:
     nodes: The nodes by name.
     last_call_at: Time of the last call of any reader that the store answered.
+    cut_zones: Zones whose nodes do not hear each other.
   """
 
   def __init__(self, count, large):
@@ -45,6 +46,7 @@
     members = test_topology.make_fleet(count, large)
     self.nodes = {own.node: Node(own, members) for own in members}
     self.last_call_at = 0.0
+    self.cut_zones = frozenset()
     self.now = 0.0
     self._numbers = itertools.count()
     self._queue = []
@@ -86,7 +88,9 @@
     self._push(self.now + period_s, self._send_heartbeats, node)
 
   def _deliver(self, receiver, heartbeat):
-    receiver.members.record_heartbeat(heartbeat, 0)
+    zones = {heartbeat.zone, receiver.members.own_member.zone}
+    if len(zones) == 1 or not zones <= self.cut_zones:
+      receiver.members.record_heartbeat(heartbeat, 0)
 
   def run(self, until, check=lambda: None):
     """Plays until a time and checks ten times a second."""
@@ -141,6 +145,28 @@
     fleet.list_readers()[0].is_alive = False
     self.assert_calm(fleet, until=15.0)
 
+  def test_two_zones_that_are_blind_to_each_other_are_updated(self):
+    fleet = Fleet(195, 18)
+    fleet.run(SETTLING_S)
+    fleet.cut_zones = frozenset("ab")
+    self.assert_calm(fleet, until=15.0)
+
+  def test_zone_without_its_reader_and_blind_to_another_zone(self):
+    """Some of its hubs have no reader left; nobody is updated for long."""
+    fleet = Fleet(195, 18)
+    fleet.run(SETTLING_S)
+    fleet.cut_zones = frozenset("ab")
+    for reader in fleet.list_readers():
+      if reader.members.own_member.zone == "a":
+        reader.is_alive = False
+    fleet.run(fleet.now + contact.UPDATE_TIMEOUT_S + 1.0)
+    for name in fleet.list_not_updated():
+      node = fleet.nodes[name]
+      self.assertEqual(node.members.own_member.zone, "a")
+      self.assertIsNot(
+        contact.must_read(node.members, node.plan, fleet.now), False
+      )
+
   def test_reader_without_the_store_is_replaced_by_another_zone(self):
     fleet = Fleet(195, 18)
     fleet.run(SETTLING_S)
