--- a/packages/gateway/src/bronzefold/gateway/topology.py
+++ b/packages/gateway/src/bronzefold/gateway/topology.py
@@ -27,7 +27,7 @@
 # their hubs in their own zone.
 _NODES_PER_HUB = 12
 _MIN_HUBS = 3  # two may fail at once
-_READERS_PER_HUB = 2  # links of a hub that does not read the store itself
+_READERS_PER_HUB = 2  # one may fail, or be cut off from the store
 _HUBS_PER_SPOKE = 3  # two may fail at once
 # Every hub is linked to every allocator, so this bounds a hub's further links.
 _MAX_ALLOCATORS = 8
@@ -38,7 +38,7 @@
   """Links of one node, planned from the nodes that it knows.
 
   Attributes:
-    is_hub: True if this node has spokes.
+    is_hub: True if this node is a hub; in a small fleet all nodes are.
     is_reader: True if this hub reads the store itself.
     neighbours: Nodes with which this node exchanges heartbeats.
     spokes: The neighbours of which this node is a hub.
