--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from bronzefold.gateway import model
 from tests import fleet
 from tests.standins import site as sites
 
@@ -211,6 +212,22 @@
       )
 
 
+def make_request(received_at: float, **changed: Any) -> model.Request:
+  """Makes a caller's request, with changed fields."""
+  fields = {
+    "id": b"r",
+    "method": b"GET",
+    "host": "shop.example",
+    "path": "/x/",
+    "target": b"/x/",
+    "headers": (),
+    "head_bytes": 100,
+    "body": b"",
+    "timeout_s": 5.0,
+  }
+  return model.Request(received_at=received_at, **{**fields, **changed})
+
+
 def call(
   port: int,
   path: str,
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -12,6 +12,7 @@
 from bronzefold.gateway import model
 from bronzefold.gateway import rollouts
 from bronzefold.gateway import sending
+from tests import gateways
 
 BROKEN_CONNECTION = types.SimpleNamespace(
   is_closed=True, reusable=False, expires_at=0.0, close=lambda: None
@@ -96,18 +97,7 @@
       top_k=1,
       min_coverage=min_coverage,
     )
-    request = model.Request(
-      id=name,
-      method=b"GET",
-      host="h",
-      path="/",
-      target=b"/",
-      headers=(),
-      head_bytes=1,
-      body=b"",
-      received_at=now,
-      timeout_s=10.0,
-    )
+    request = gateways.make_request(now, id=name, timeout_s=10.0)
     fan_out = fanout.FanOut(
       self.dependencies, request, route, route.shards, now + 10.0
     )
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -11,22 +11,7 @@
 from bronzefold.gateway import sending
 from bronzefold.platform import upstreams
 from bronzefold.upstreams import channel
-
-
-def make_request(now):
-  """Returns a caller's request."""
-  return model.Request(
-    id=b"r",
-    method=b"GET",
-    host="shop.example",
-    path="/x/",
-    target=b"/x/",
-    headers=(),
-    head_bytes=100,
-    body=b"",
-    received_at=now,
-    timeout_s=5.0,
-  )
+from tests import gateways
 
 
 class AbandonTest(unittest.IsolatedAsyncioTestCase):
@@ -55,7 +40,7 @@
       )
       now = clock.read_monotonic()
       attempt = sender.start(
-        make_request(now),
+        gateways.make_request(now),
         self.upstream,
         5.0,
         now,
--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -6,6 +6,7 @@
 from bronzefold.gateway import connections
 from bronzefold.gateway import model
 from bronzefold.gateway import timing
+from tests import gateways
 
 OBJECTIVE_S = 0.1
 ROUTE = model.Route(
@@ -15,18 +16,8 @@
 
 def make_request(timeout_s, round_trip_s=0.0):
   """Returns a request that arrived at time 10."""
-  return model.Request(
-    id=b"r",
-    method=b"GET",
-    host="h",
-    path="/",
-    target=b"/",
-    headers=(),
-    head_bytes=10,
-    body=b"",
-    received_at=10.0,
-    timeout_s=timeout_s,
-    round_trip_s=round_trip_s,
+  return gateways.make_request(
+    10.0, timeout_s=timeout_s, round_trip_s=round_trip_s
   )
 
 
