--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -32,7 +32,7 @@
 # store, the rest is a margin.
 MAX_PENDING_S = 1.4
 MAX_RETRY_AFTER_S = 1.0  # a rate limit may end at any moment
-RETRY_AFTER_S = 0.05  # below the shortest latency objective in use, 56 ms
+RETRY_AFTER_S = 0.05  # another node serves the request at once
 NOT_READY_RETRY_AFTER_S = 0.3  # about as long as a node takes to start
 # Refusals for want of upstreams, whose return is estimated.
 _UNSERVED_OUTCOMES = frozenset({"coverage_too_small", "not_run"})
