Refuse a search with 503 only if nothing of it ran

Callers got 503, which promises that a request has not run, for searches of which most parts had run. And a search that too few shards could serve was sent to all the others, whose work was thrown away. Cause: the coverage was looked at after sending, and each failure of it was a refusal. It was known (the docstring said so) and taken for allowed, as searches may be repeated. The users' page knows no such exception. Evidence: test_search_that_fails_after_it_ran_is_not_503 and test_callers_that_repeat_at_once_while_a_shard_is_gone failed before. The first one replaces test_search_without_min_coverage_gets_503, which demanded the untrue 503; test_search_that_too_few_shards_can_serve_sends_nothing demands a true one. Change: upstreams are chosen for all shards before anything is sent; if too few have one, nothing is.

--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -168,6 +168,11 @@
     """The shards that succeeded."""
     return [shard for shard in self.shards if shard.part is not None]
 
+  @property
+  def may_have_run(self) -> bool:
+    """True unless it is certain that no attempt ran."""
+    return any(shard.may_have_run for shard in self.shards)
+
   async def run(self, now: Seconds) -> None:
     """Sends to all shards and waits until the response can be decided.
 
@@ -180,9 +185,7 @@
         self._dependencies.get_retry_budget(shard.service).earn(now)
       if self._dependencies.upstreams.limited_ids:
         now = await self._wait_for_tokens(now)
-      for shard in self.shards:
-        if not shard.has_failed:
-          self._send_first(shard, now)
+      self._send_all_first(now)
       while not self._is_decided(now):
         self._can_skip_waiting = self._compute_can_skip_waiting()
         wake_at = self._get_wake_time(now)
@@ -338,18 +341,42 @@
   def _send_next(self, shard: ShardRequest, now: Seconds) -> None:
     """Sends the first attempt, a hedge, or a retry."""
     if not shard.attempts:
-      self._send_first(shard, now)
+      self._send_first(shard, *self._choose_upstream(shard, now), now)
     elif shard.has_pending:
       self._hedge(shard, now)
     else:
       self._retry(shard, now)
 
-  def _send_first(self, shard: ShardRequest, now: Seconds) -> None:
+  def _send_all_first(self, now: Seconds) -> None:
+    """Sends the first attempts, unless the request certainly can't be served.
+
+    A search that too few shards can serve sends nothing, so it costs the
+    upstreams no work, and its refusal says truly that it did not run.
+    """
+    choices = [
+      (shard, *self._choose_upstream(shard, now))
+      for shard in self.shards
+      if not shard.has_failed
+    ]
+    if sum(bool(usable) for _, usable, _ in choices) < self._min_parts:
+      self.withheld_counts["first: too few shards"] += len(choices)
+      for shard in self.shards:
+        shard.has_failed = True
+      return
+    for shard, usable, chosen in choices:
+      self._send_first(shard, usable, chosen, now)
+
+  def _send_first(
+    self,
+    shard: ShardRequest,
+    usable: list[inventory.Upstream],
+    chosen: inventory.Upstream | None,
+    now: Seconds,
+  ) -> None:
     """Sends the first attempt, or waits while all usable upstreams are busy.
 
     The shard fails if no upstream is usable.
     """
-    usable, chosen = self._choose_upstream(shard, now)
     if chosen is not None and not self._must_wait(shard, usable, chosen, now):
       self._send(shard, chosen, now)
     elif not usable:
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -261,9 +261,8 @@
       request: The complete request.
 
     Returns:
-      The response. A refusal with status 503 guarantees that a plain request
-      did not run. A search that is refused for its coverage may have run, and
-      so may a request whose upstream itself sent the 503.
+      The response. A refusal with status 503 guarantees that the request did
+      not run, unless its upstream itself sent the 503.
     """
     now = clock.read_monotonic()
     self.apply_pending_configuration(now)
@@ -449,6 +448,8 @@
   parts = [shard.part for shard in fan_out.served_shards]
   # Tolerates rounding errors of ``min_coverage``, as ``FanOut`` does.
   if not parts or len(parts) < route.min_coverage * len(fan_out.shards) - 1e-9:
+    if fan_out.may_have_run:
+      return model.Response(502, outcome="coverage_too_small")
     if fan_out.token_wait_s:
       return _make_rate_limit_refusal(fan_out)
     return model.Response(503, outcome="coverage_too_small")
