--- a/packages/gateway/src/bronzefold/gateway/contact.py
+++ b/packages/gateway/src/bronzefold/gateway/contact.py
@@ -13,8 +13,6 @@
 
 HEARTBEAT_PERIOD_S = 0.5
 # Covers the 0.8 s between watches, two heartbeat periods and 0.5 s of margin.
-# With 1.9 s, nodes read the store themselves although their hubs worked (26
-# calls where the limit is 24).
 UPDATE_TIMEOUT_S = 2.4
 # Least time between own reads of a node that is to be updated by others: it has
 # just started, or they have lost the store.
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -35,7 +35,8 @@
 MIN_REFUSAL_PAUSE_S = 0.01
 NO_UPSTREAM_RECHECK_DELAY_S = 0.05  # a fifth of an upstream's shortest backoff
 BUDGET_RECHECK_DELAY_S = 0.02  # short; the budget counts in slices of 0.5 s
-# Share of the expected latency; 1.0 withheld hedges that would have helped.
+# Share of the expected latency that must be left when a hedge is sent; the
+# estimate is often too high.
 MIN_TIME_LEFT_SHARE = 0.5
 # Ten round trips between zones; an allocator that takes longer is unreachable.
 MAX_TOKEN_WAIT_S = 0.01
