Tell an upstream that crashed from a connection that was lost

A lost connection is now followed by the opening of a new one, which a retry would need anyway; if it is refused, the attempt ends with upstream_crashed, the upstream is down at once, and event 717 names the request's fingerprint.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -230,6 +230,12 @@
   logging.WARNING,
   "This node removed the entry of a node that was silent.",
 )
+UPSTREAM_CRASHED = _register(
+  717,
+  "upstream_crashed",
+  logging.WARNING,
+  "An upstream ended before it had answered a request.",
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- a/packages/core/src/bronzefold/core/exceptions.py
+++ b/packages/core/src/bronzefold/core/exceptions.py
@@ -106,6 +106,11 @@
   """No connection to the upstream or its owner could be opened."""
 
 
+@register_error("connect_refused", 503)
+class ConnectRefusedError(ConnectFailedError):
+  """Nothing listens at the address."""
+
+
 @register_error("no_upstream", 503)
 class NoUpstreamError(NotRunError):
   """No upstream is eligible for the request."""
@@ -136,6 +141,11 @@
   """The connection was lost after the request was sent."""
 
 
+@register_error("upstream_crashed", 504)
+class UpstreamCrashedError(ConnectionLostError):
+  """The upstream ended before it had answered the request."""
+
+
 @register_error("timed_out", 504)
 class TimedOutError(OutcomeUnknownError):
   """No reply came before the deadline."""
--- a/packages/gateway/src/bronzefold/gateway/model.py
+++ b/packages/gateway/src/bronzefold/gateway/model.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from bronzefold.core import fingerprints
 from bronzefold.core.clock import Seconds
 
 Header = tuple[bytes, bytes]
@@ -170,6 +171,13 @@
   timeout_s: Seconds | None
   round_trip_s: Seconds = 0.0
 
+  @property
+  def fingerprint(self) -> str:
+    """Digest of all that decides what upstreams do with the request."""
+    return fingerprints.compute_fingerprint(
+      self.method, self.host.encode(), self.target, self.body
+    )
+
 
 @attrs.frozen
 class UpstreamResponse:
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import enum
 import itertools
+import logging
 import math
 from typing import Protocol
 
@@ -14,6 +15,7 @@
 
 from bronzefold.core import clock
 from bronzefold.core import defaults
+from bronzefold.core import events
 from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import inventory
@@ -24,6 +26,11 @@
 # Work for a caller that has left must end within 0.5 s; the upstream stops when
 # its connection closes.
 CLOSE_DELAY_S = 0.25
+# Several round trips. An upstream that ended refuses connections at once; one
+# that does not respond to them may be cut off.
+CRASH_CHECK_TIMEOUT_S = 0.03
+
+_logger = logging.getLogger(__name__)
 
 
 class UpstreamProtocol(Protocol):
@@ -100,6 +107,11 @@
   ended_at: Seconds = 0.0
   connection: channel.Channel | None = None
 
+  @property
+  def has_crashed(self) -> bool:
+    """True if its upstream ended before it had answered."""
+    return isinstance(self.error, exceptions.UpstreamCrashedError)
+
   @property
   def is_refused(self) -> bool:
     """True if its upstream received the request and did not run it."""
@@ -244,28 +256,76 @@
 
     def finish(completed: asyncio.Future[channel.RawResponse]) -> None:
       timer.cancel()
-      attempt.upstream.pool.release(connection)
-      self._classify_result(attempt, completed)
+      error = completed.exception()
+      may_have_crashed = _may_have_crashed(error, connection)
+      pool = attempt.upstream.pool
+      pool.release(connection)
+      if may_have_crashed and pool.has_capacity:
+        pool.reserve()
+        self._tasks.start_soon(
+          self._check_lost_connection, attempt, request, error, on_end
+        )
+        return
+      if error is not None:
+        self._record_loss(attempt, error)
+      else:
+        self._classify_response(attempt, completed.result())
       on_end(attempt)
 
     response_future.add_done_callback(finish)
 
-  def _classify_result(
-    self, attempt: Attempt, completed: asyncio.Future[channel.RawResponse]
+  async def _check_lost_connection(
+    self,
+    attempt: Attempt,
+    request: model.Request,
+    error: exceptions.BronzefoldError,
+    on_end: OnEnd,
+  ) -> None:
+    """Ends an attempt after finding out whether its upstream has ended.
+
+    The connection that this opens in the reserved place is kept, since a retry
+    needs one.
+    """
+    pool = attempt.upstream.pool
+    try:
+      pool.release(await pool.open(CRASH_CHECK_TIMEOUT_S))
+    except exceptions.ConnectRefusedError:
+      error = exceptions.UpstreamCrashedError(error.detail)
+      now = clock.read_monotonic()
+      attempt.upstream.health.record_failure(now, is_unreachable=True)
+      events.UPSTREAM_CRASHED.log(
+        _logger,
+        instance=attempt.upstream.instance.id,
+        service=attempt.service,
+        request=request.id.decode("latin-1"),
+        fingerprint=request.fingerprint,
+        ran_ms=round((now - attempt.started_at) * 1e3, 1),
+      )
+    except exceptions.ConnectFailedError:
+      pass  # it may be cut off, which the next request will find out
+    self._record_loss(attempt, error)
+    on_end(attempt)
+
+  def _record_loss(
+    self, attempt: Attempt, error: exceptions.BronzefoldError
+  ) -> None:
+    """Records that an attempt got no response."""
+    now = clock.read_monotonic()
+    health = attempt.upstream.health
+    # A connection that this node closed while the upstream was within its
+    # normal latency says nothing about the upstream's health.
+    is_failure = not attempt.is_abandoned or health.is_stalled(now)
+    self._record_outcome(attempt, Outcome.UNKNOWN, error=error)
+    if is_failure:
+      health.record_failure(now)
+
+  def _classify_response(
+    self, attempt: Attempt, raw: channel.RawResponse
   ) -> None:
     """Sets the attempt's outcome and updates the upstream's health."""
     now = clock.read_monotonic()
     health = attempt.upstream.health
-    error = completed.exception()
-    if error is not None:
-      # A connection that this node closed while the upstream was within its
-      # normal latency says nothing about the upstream's health.
-      is_failure = not attempt.is_abandoned or health.is_stalled(now)
-      self._record_outcome(attempt, Outcome.UNKNOWN, error=error)
-      if is_failure:
-        health.record_failure(now)
-      return
-    response = self._protocol.decode_response(completed.result())
+    response = self._protocol.decode_response(raw)
     if not response.is_misdirected:
       self._on_response(attempt.upstream, response, now)
     if response.did_not_run:
@@ -294,3 +354,13 @@
     attempt.response = response
     attempt.error = error
     attempt.upstream.health.in_flight.pop(attempt.number, None)
+
+
+def _may_have_crashed(
+  error: BaseException | None, connection: channel.Channel
+) -> bool:
+  """True if an upstream's end may be the cause of an error."""
+  return (
+    isinstance(error, exceptions.ConnectionLostError)
+    and not connection.is_closed_here
+  )
--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -56,7 +56,9 @@
     reusable: False once no other request may be sent, because the connection
       ends or bytes may follow that belong to no request.
     expires_at: Monotonic time after which an idle connection must not be used.
-    idle_since: Monotonic time of the end of the last exchange.
+    idle_since: Monotonic time of the end of the last exchange, or of the
+      opening before the first one.
+    is_closed_here: True once this node has closed it.
 
   Bytes that end neither a head nor a part of a body are bounded by
   ``MAX_HEAD_BYTES``, and a body by ``MAX_UPSTREAM_BODY_BYTES``.
@@ -66,6 +68,7 @@
     self.reusable = True
     self.expires_at: Seconds = 0.0
     self.idle_since: Seconds = 0.0
+    self.is_closed_here = False
     self._loop = asyncio.get_running_loop()
     self._transport: asyncio.Transport | None = None
     self._parser = httptools.HttpResponseParser(self)
@@ -121,12 +124,14 @@
   def close(self) -> None:
     """Closes the connection; an exchange in progress fails."""
     self.reusable = False
+    self.is_closed_here = True
     if self._transport is not None:
       self._transport.abort()
 
   def connection_made(self, transport: asyncio.BaseTransport) -> None:
-    """Sets the transport."""
+    """Sets the transport; the connection is idle from now on."""
     self._transport = transport
+    self._start_idling(_DEFAULT_KEEP_ALIVE_S)
 
   def data_received(self, data: bytes) -> None:
     """Parses received bytes."""
@@ -240,6 +245,9 @@
       name, _, value = item.strip().partition(b"=")
       if name == b"timeout" and value.isdigit():
         keep_alive_s = float(value)
+    self._start_idling(keep_alive_s)
+
+  def _start_idling(self, keep_alive_s: Seconds) -> None:
     margin_s = min(_KEEP_ALIVE_MARGIN_S, keep_alive_s / 2)
     self.idle_since = clock.read_monotonic()
     self.expires_at = self.idle_since + keep_alive_s - margin_s
@@ -264,7 +272,8 @@
     The channel.
 
   Raises:
-    ConnectFailedError: The connection could not be opened.
+    ConnectFailedError: The connection could not be opened; a
+      ``ConnectRefusedError`` if nothing listens at the address.
   """
   host, _, port = address.partition(":")
   loop = asyncio.get_running_loop()
@@ -272,7 +281,13 @@
     async with asyncio.timeout(timeout_s):
       _, channel = await loop.create_connection(Channel, host, int(port))
   except (OSError, TimeoutError, ValueError) as error:
-    raise exceptions.ConnectFailedError(
+    is_refused = isinstance(error, ConnectionRefusedError)
+    error_type = (
+      exceptions.ConnectRefusedError
+      if is_refused
+      else exceptions.ConnectFailedError
+    )
+    raise error_type(
       f"connecting to {address} failed: {type(error).__name__}"
     ) from error
   return channel
@@ -351,7 +366,8 @@
       The connection.
 
     Raises:
-      ConnectFailedError: The connection could not be opened.
+      ConnectFailedError: The connection could not be opened; a
+        ``ConnectRefusedError`` if nothing listens at the address.
     """
     self.opened += 1
     try:
