Try the upstreams that are left when several refuse connections

Callers of a service of which most upstreams had just ended got 503 though one was left: a request gave up after three attempts that had not run, and services have up to six upstreams. An upstream that refuses the connection is down at once and is not tried again, so these attempts end by themselves; only refusals and timeouts are bounded now.

--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -27,7 +27,9 @@
 from bronzefold.gateway import sending
 from bronzefold.gateway import timing
 
-MAX_NOT_RUN_ATTEMPTS = 3  # a service has two to four upstreams
+# Upstreams at whose address nothing listens do not count: they are down then,
+# and each costs one round trip.
+MAX_NOT_RUN_ATTEMPTS = 3
 # Connections are offered to waiting requests when they become free. Only new
 # upstreams and raised limits are noticed by looking again.
 SLOT_RECHECK_DELAY_S = 0.1
@@ -533,7 +535,11 @@
       shard.has_failed = not shard.has_pending
 
   def _may_retry(self, shard: ShardRequest) -> bool:
-    not_run_count = len(shard.attempts) - shard.run_count
+    not_run_count = sum(
+      attempt.outcome is sending.Outcome.NOT_RUN
+      and not attempt.found_no_listener
+      for attempt in shard.attempts
+    )
     if (
       shard.run_count >= self._route.max_attempts
       or not_run_count >= MAX_NOT_RUN_ATTEMPTS
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -112,6 +112,11 @@
     """True if its upstream ended before it had answered."""
     return isinstance(self.error, exceptions.UpstreamCrashedError)
 
+  @property
+  def found_no_listener(self) -> bool:
+    """True if its upstream refused the connection, as it has ended."""
+    return isinstance(self.error, exceptions.ConnectRefusedError)
+
   @property
   def is_refused(self) -> bool:
     """True if its upstream received the request and did not run it."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -364,6 +364,15 @@
       self.assertEqual(reply.headers["bronzefold-missing-parts"], "0")
       self.assertLess(reply.took_s, 0.35)
 
+  def test_upstream_that_is_left_of_many_serves(self):
+    for number in range(2, 6):
+      self.add_upstream(f"i-shop-{number}", "shop", b"shop")
+    upstreams = self.get_upstreams("shop")
+    self.node.wait_for_upstreams(*upstreams)
+    for upstream in upstreams[:-1]:
+      self.site.stop_upstream(upstream)
+    self.assertEqual(self.node.send("/plain/x").status, 200)
+
   def test_plain_request_is_sent_again_to_the_last_replica(self):
     for number, upstream in enumerate(self.get_upstreams("shop")):
       if number:
