Quarantine requests that crash the upstreams that run them

Cause: nothing remembered what an upstream was running when it crashed. The fan-out, hedges and retries carried the request to every replica, and each of its repeats was a new request to every node. Class: a request of death, spread by the very means that hide crashes from callers. Evidence: event upstream_crashed has one fingerprint 126 times, no other more than 22 times.

Change: - A request is held back until an upstream has responded to it: a search is not hedged before, and not retried once an upstream has crashed; a plain request stops after two crashes. - Three crashes without a response quarantine its fingerprint, first for 5 s, then 8 times as long after each failed probe. A probe goes to one upstream, never the last one of a service. Any response clears it, so innocent requests in progress at the same upstreams are served. - Nodes flood what they know; hubs repeat it each 2 s and tell it to nodes that start. - For 10 s after a suspicion, searches go to two shards first: another deadly request then costs two upstreams instead of one of each shard. - Crashes under a suspected request do not count against the version of the upstream. - A retry after a lost connection does not use another idle one, which may be forgotten, too.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -236,6 +236,24 @@
   logging.WARNING,
   "An upstream ended before it had answered a request.",
 )
+REQUEST_SUSPECTED = _register(
+  718,
+  "request_suspected",
+  logging.WARNING,
+  "Upstreams crashed under a request; its repeats go to one upstream first.",
+)
+REQUEST_QUARANTINED = _register(
+  719,
+  "request_quarantined",
+  logging.WARNING,
+  "A request that crashes upstreams is rejected for some time.",
+)
+REQUEST_CLEARED = _register(
+  720,
+  "request_cleared",
+  logging.INFO,
+  "An upstream has responded to a suspected request.",
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- /dev/null
+++ b/packages/core/src/bronzefold/core/quarantine.py
@@ -0,0 +1,315 @@
+"""Requests under which upstreams crash, and whether they may run again.
+
+Answers a request that crashes every upstream that begins to run it and that its
+caller sends again and again, among many innocent requests that were in
+progress at the same upstreams. A request is suspected once several upstreams
+have crashed under it, and quarantined if more do. A suspected one, or one whose
+quarantine is over, goes to a single upstream first. Any response clears it.
+
+What a node knows is merged with the reports of other nodes; the order and the
+number of the reports do not matter.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+import logging
+import math
+
+import attrs
+
+from bronzefold.core import events
+from bronzefold.core.clock import Seconds
+
+SUSPICION_CRASHES = 2  # one crash under a request is no sign of its guilt
+QUARANTINE_CRASHES = 3
+FIRST_QUARANTINE_S = 5.0  # about as long as an upstream takes to return
+QUARANTINE_GROWTH = 8.0
+MAX_QUARANTINE_S = 3600.0
+SUSPICION_S = 60.0
+# Callers that were rejected for a probe in progress return after it.
+PROBE_WAIT_S = 0.1
+MAX_RECORDS = 1024
+# About as long as a crashed upstream takes until it is back and warm.
+ALERT_S = 10.0
+_MAX_STRIKES = 5  # the quarantine has its full length by then
+
+_logger = logging.getLogger(__name__)
+
+
+class Verdict(enum.Enum):
+  """What may be done with a request.
+
+  Attributes:
+    ADMIT: It may be sent as any other.
+    PROBE: It may be sent to one upstream; to others once that one has
+      responded.
+    REJECT: It may not be sent.
+  """
+
+  ADMIT = "admit"
+  PROBE = "probe"
+  REJECT = "reject"
+
+
+@attrs.frozen
+class Suspicion:
+  """What a node knows of a request under which upstreams crashed.
+
+  Attributes:
+    fingerprint: Fingerprint of the request.
+    upstreams: Ids of upstreams that crashed under it, ``QUARANTINE_CRASHES`` at
+      most.
+    strikes: How often it has been quarantined.
+    age_s: Seconds since the last crash.
+  """
+
+  fingerprint: str
+  upstreams: tuple[str, ...]
+  strikes: int
+  age_s: Seconds
+
+
+@attrs.define(eq=False)
+class _Record:
+  """What this node knows of a request.
+
+  Attributes:
+    upstreams: Ids of upstreams that crashed under it.
+    strikes: As in ``Suspicion``.
+    crashed_at: Monotonic time of the last crash.
+    changed_at: Monotonic time of the last change of its state.
+    survived_at: Monotonic time of the last response of an upstream.
+    is_probed: True while a probe is in progress on this node.
+  """
+
+  upstreams: set[str] = attrs.field(factory=set)
+  strikes: int = 0
+  crashed_at: Seconds = -math.inf
+  changed_at: Seconds = -math.inf
+  survived_at: Seconds = -math.inf
+  is_probed: bool = False
+
+  @property
+  def is_suspected(self) -> bool:
+    """True if too many upstreams have crashed under it."""
+    return len(self.upstreams) >= SUSPICION_CRASHES
+
+  @property
+  def state(self) -> tuple[bool, int]:
+    """All that decides, besides the time, what may be done with it."""
+    return self.is_suspected, self.strikes
+
+  @property
+  def quarantined_until(self) -> Seconds:
+    """Monotonic time until which it is quarantined."""
+    return self.crashed_at + _compute_duration(self.strikes)
+
+  @property
+  def kept_until(self) -> Seconds:
+    """Monotonic time at which it is forgotten."""
+    remembered_s = max(SUSPICION_S, _compute_duration(self.strikes))
+    return max(self.quarantined_until, self.survived_at) + remembered_s
+
+
+OnChange = Callable[[Suspicion, Seconds], None]
+
+
+class Quarantine:
+  """The suspected requests that a node knows of.
+
+  Attributes:
+    on_change: Called with what this node knows of a request, when that has
+      changed, and the monotonic time.
+  """
+
+  def __init__(self) -> None:
+    """Creates a quarantine that knows of no request."""
+    self.on_change: OnChange = lambda suspicion, now: None
+    self._records: dict[str, _Record] = {}
+    self._alert_until: Seconds = -math.inf
+
+  @property
+  def is_empty(self) -> bool:
+    """True while no request has to be judged."""
+    return not self._records
+
+  def judge(self, fingerprint: str, now: Seconds) -> Verdict:
+    """Decides whether a request may run.
+
+    After ``PROBE``, ``end_probe`` must be called; requests with the same
+    fingerprint are rejected until then.
+
+    Args:
+      fingerprint: The request's fingerprint.
+      now: Monotonic time.
+    """
+    record = self._records.get(fingerprint)
+    if record is None or not record.is_suspected or now >= record.kept_until:
+      return Verdict.ADMIT
+    if record.is_probed or now < record.quarantined_until:
+      return Verdict.REJECT
+    record.is_probed = True
+    return Verdict.PROBE
+
+  def is_alert(self, now: Seconds) -> bool:
+    """True if a request became suspected a short time ago.
+
+    Args:
+      now: Monotonic time.
+    """
+    return now < self._alert_until
+
+  def is_suspected(self, fingerprint: str) -> bool:
+    """True if a request is suspected."""
+    record = self._records.get(fingerprint)
+    return record is not None and record.is_suspected
+
+  def end_probe(self, fingerprint: str) -> None:
+    """Ends a probe, whatever became of it."""
+    record = self._records.get(fingerprint)
+    if record is not None:
+      record.is_probed = False
+
+  def get_wait(self, fingerprint: str, now: Seconds) -> Seconds:
+    """Returns how long a rejected request is rejected, in seconds."""
+    record = self._records.get(fingerprint)
+    until = now if record is None else record.quarantined_until
+    return max(PROBE_WAIT_S, until - now)
+
+  def record_crash(
+    self, fingerprint: str, upstream_id: str, started_at: Seconds, now: Seconds
+  ) -> None:
+    """Records that an upstream crashed while it had a request.
+
+    Args:
+      fingerprint: The request's fingerprint.
+      upstream_id: Id of the upstream.
+      started_at: Monotonic time at which the request was sent to it.
+      now: Monotonic time.
+    """
+    record = self._records.setdefault(fingerprint, _Record())
+    state_before = record.state
+    record.crashed_at = now
+    if len(record.upstreams) < QUARANTINE_CRASHES:
+      record.upstreams.add(upstream_id)
+    # Attempts that were on their way belong to the same strike.
+    elif started_at >= record.changed_at:
+      record.strikes = min(_MAX_STRIKES, record.strikes + 1)
+    self._complete_change(fingerprint, record, state_before, now)
+
+  def record_survival(self, fingerprint: str, now: Seconds) -> None:
+    """Records that an upstream has responded to a request, which clears it.
+
+    Args:
+      fingerprint: The request's fingerprint.
+      now: Monotonic time.
+    """
+    record = self._records.get(fingerprint)
+    if record is None:
+      return
+    if record.is_suspected:
+      events.REQUEST_CLEARED.log(
+        _logger, fingerprint=fingerprint, strikes=record.strikes
+      )
+    self._records[fingerprint] = _Record(
+      survived_at=now, is_probed=record.is_probed
+    )
+
+  def merge(self, suspicion: Suspicion, now: Seconds) -> None:
+    """Merges what another node knows of a request.
+
+    Args:
+      suspicion: What it knows.
+      now: Monotonic time.
+    """
+    crashed_at = now - max(0.0, suspicion.age_s)
+    record = self._records.get(suspicion.fingerprint) or _Record()
+    if crashed_at <= record.survived_at:
+      return
+    state_before = record.state
+    crashed = sorted(record.upstreams.union(suspicion.upstreams))
+    record.upstreams = set(crashed[:QUARANTINE_CRASHES])
+    record.strikes = max(record.strikes, min(_MAX_STRIKES, suspicion.strikes))
+    record.crashed_at = max(record.crashed_at, crashed_at)
+    self._records[suspicion.fingerprint] = record
+    self._complete_change(suspicion.fingerprint, record, state_before, now)
+
+  def list_suspicions(self, now: Seconds) -> list[Suspicion]:
+    """Lists the suspected requests, and forgets those of long ago.
+
+    Args:
+      now: Monotonic time.
+    """
+    self._records = {
+      fingerprint: record
+      for fingerprint, record in self._records.items()
+      if now < record.kept_until or record.is_probed
+    }
+    return [
+      _describe(fingerprint, record, now)
+      for fingerprint, record in self._records.items()
+      if record.is_suspected
+    ]
+
+  def _complete_change(
+    self,
+    fingerprint: str,
+    record: _Record,
+    state_before: tuple[bool, int],
+    now: Seconds,
+  ) -> None:
+    """Quarantines the request if it must be, and announces a change.
+
+    Args:
+      fingerprint: Fingerprint of the request.
+      record: Its record, with the change.
+      state_before: State of the record before the change.
+      now: Monotonic time.
+    """
+    if len(record.upstreams) >= QUARANTINE_CRASHES:
+      record.strikes = max(1, record.strikes)
+    if record.state != state_before:
+      record.changed_at = now
+      self._announce(fingerprint, record, now)
+    self._limit_records()
+
+  def _announce(self, fingerprint: str, record: _Record, now: Seconds) -> None:
+    self._alert_until = max(self._alert_until, record.crashed_at + ALERT_S)
+    event = (
+      events.REQUEST_QUARANTINED if record.strikes else events.REQUEST_SUSPECTED
+    )
+    event.log(
+      _logger,
+      fingerprint=fingerprint,
+      strikes=record.strikes,
+      upstreams=sorted(record.upstreams),
+      duration_s=_compute_duration(record.strikes),
+    )
+    self.on_change(_describe(fingerprint, record, now), now)
+
+  def _limit_records(self) -> None:
+    """Forgets the record of the earliest crash if there are too many."""
+    if len(self._records) > MAX_RECORDS:
+      del self._records[
+        min(self._records, key=lambda name: self._records[name].crashed_at)
+      ]
+
+
+def _compute_duration(strikes: int) -> Seconds:
+  """Returns how long a request is quarantined, in seconds."""
+  if not strikes:
+    return 0.0
+  return min(
+    MAX_QUARANTINE_S, FIRST_QUARANTINE_S * QUARANTINE_GROWTH ** (strikes - 1)
+  )
+
+
+def _describe(fingerprint: str, record: _Record, now: Seconds) -> Suspicion:
+  return Suspicion(
+    fingerprint,
+    tuple(sorted(record.upstreams)),
+    record.strikes,
+    now - record.crashed_at,
+  )
--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -21,6 +21,7 @@
 from bronzefold.gateway import gateway as gateways
 from bronzefold.gateway import replica
 from bronzefold.gateway import rollouts
+from bronzefold.gateway import suspicions
 from bronzefold.gateway import tokens
 from bronzefold.gateway import topology
 from bronzefold.peers import membership
@@ -87,6 +88,9 @@
       members, network, gateway.upstreams, lambda: self._topology
     )
     gateway.token_source = self._tokens
+    self._suspicions = suspicions.SuspicionExchange(
+      network, gateway.suspects, lambda: self._topology
+    )
 
   async def run(self) -> None:
     """Sends heartbeats until cancelled.
@@ -218,6 +222,8 @@
       self._tokens.handle_request(sender, message, now)
     elif isinstance(message, messages.TokenGrant):
       self._tokens.handle_grant(message, now)
+    elif isinstance(message, messages.Suspicions):
+      self._suspicions.handle_message(message, now)
 
   def _run_periodic_work(self, now: Seconds) -> None:
     self._update_topology()
@@ -227,6 +233,7 @@
       self._update_share(now)
     self._send_heartbeats(self._topology.neighbours, now)
     self._send_version_counts(now)
+    self._suspicions.repeat(now)
     if not self._topology.neighbours:
       self._send_heartbeats_to_connected(now)
     if not self._replica.revision:
@@ -249,6 +256,8 @@
     if heartbeat.entry_addresses:
       self._directory.record_report(sender, heartbeat.entry_addresses)
     self._network.connect(sender, heartbeat.peer_address)
+    if heartbeat.echo is None:
+      self._suspicions.greet(sender, now)
     age_s = self._members.get_own_store_contact_age(now)
     is_stale = age_s is None or age_s > follower.MAX_STORE_AGE_S
     if is_stale and heartbeat.config_revision > self._replica.revision:
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -16,7 +16,9 @@
 
 from bronzefold.core import budgets
 from bronzefold.core import clock
+from bronzefold.core import quarantine
 from bronzefold.core.clock import Seconds
+from bronzefold.gateway import containment
 from bronzefold.gateway import hedging
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
@@ -73,6 +75,13 @@
       attempt.outcome is sending.Outcome.PENDING for attempt in self.attempts
     )
 
+  @property
+  def has_lost(self) -> bool:
+    """True if the connection of an attempt was lost."""
+    return any(
+      attempt.outcome is sending.Outcome.UNKNOWN for attempt in self.attempts
+    )
+
   @property
   def run_count(self) -> int:
     """Number of attempts that ran or may run."""
@@ -103,6 +112,7 @@
     latency_quantiles: Latency quantiles by route name, for hedging.
     request_tokens: Requests tokens for an upstream with a rate limit.
     slot_queues: Requests that wait for a connection.
+    suspects: Requests that are suspected of crashing upstreams.
   """
 
   sender: sending.Sender
@@ -113,6 +123,12 @@
   latency_quantiles: dict[str, budgets.LatencyQuantile]
   request_tokens: selection.RequestTokens
   slot_queues: queueing.SlotQueues = attrs.field(factory=queueing.SlotQueues)
+  suspects: quarantine.Quarantine = attrs.field(factory=quarantine.Quarantine)
+
+
+_Choice = tuple[
+  ShardRequest, list[inventory.Upstream], inventory.Upstream | None
+]
 
 
 class FanOut:
@@ -134,6 +150,8 @@
     route: model.Route,
     services: Iterable[str],
     deadline: Seconds,
+    *,
+    caution: containment.Caution = containment.Caution.NONE,
   ) -> None:
     """Prepares a fan-out; ``run`` sends it.
 
@@ -143,6 +161,7 @@
       route: Its route, of the configuration in force at its arrival.
       services: The service of each shard.
       deadline: Monotonic time at which the response to the caller is due.
+      caution: How it is sent until an upstream has responded.
     """
     self.shards = [ShardRequest(service) for service in services]
     self.hedge_count = 0
@@ -157,6 +176,7 @@
     self._ended_attempts: list[tuple[ShardRequest, sending.Attempt]] = []
     self._wake = anyio.Event()
     self._can_skip_waiting = False
+    self._containment = containment.Containment(caution, bool(route.shards))
     # Tolerates rounding errors of ``min_coverage``.
     self._min_parts = math.ceil(route.min_coverage * len(self.shards) - 1e-9)
     self._respond_at = timing.compute_response_time(request, route)
@@ -197,6 +217,8 @@
         self._wake = anyio.Event()
         now = clock.read_monotonic()
         self._process_ended_attempts(now)
+        if self._containment.must_give_up:
+          self._give_up()
         self._send_due(now)
     finally:
       self._abandon_pending()
@@ -277,6 +299,13 @@
       return 0.0
     return selection.get_token_wait(usable, now)
 
+  def _give_up(self) -> None:
+    """Fails the shards of a request under which too many upstreams crashed."""
+    for shard in self.shards:
+      if shard.part is None and not shard.has_failed:
+        self.withheld_counts["upstreams crashed"] += 1
+        shard.has_failed = True
+
   def _is_decided(self, now: Seconds) -> bool:
     """True once waiting longer is useless or not worth it.
 
@@ -321,8 +350,12 @@
     return min(times)
 
   def _may_send(self, shard: ShardRequest) -> bool:
-    """True if a first attempt or a hedge is allowed."""
-    if shard.part is not None or shard.has_failed:
+    """True if an attempt is allowed now."""
+    if (
+      shard.part is not None
+      or shard.has_failed
+      or not self._containment.may_send()
+    ):
       return False
     if not shard.attempts:
       return True
@@ -366,8 +399,32 @@
       for shard in self.shards:
         shard.has_failed = True
       return
+    if self._is_last_of_probe(choices, now):
+      self.withheld_counts["probe: last upstream"] += len(choices)
+      for shard in self.shards:
+        shard.has_failed = True
+      return
+    if self._containment.caution is not containment.Caution.NONE:
+      choices.sort(key=lambda choice: -len(choice[1]))
     for shard, usable, chosen in choices:
-      self._send_first(shard, usable, chosen, now)
+      if self._containment.may_send():
+        self._send_first(shard, usable, chosen, now)
+      else:
+        shard.next_attempt_at = now
+
+  def _is_last_of_probe(self, choices: list[_Choice], now: Seconds) -> bool:
+    """True if a probe could only go to the last usable upstream of a service.
+
+    The others return soon; until then, its loss would be worse than that of a
+    request that is likely to crash it.
+    """
+    if self._containment.caution is not containment.Caution.PROBE:
+      return False
+    list_candidates = self._dependencies.upstreams.list_candidates
+    return all(
+      len(usable) < 2 <= len(list_candidates(shard.service, now))
+      for shard, usable, _ in choices
+    )
 
   def _send_first(
     self,
@@ -464,6 +521,10 @@
     if now < hedge_at - TIMER_SLACK_S:
       shard.next_attempt_at = hedge_at
       return
+    if not self._containment.may_hedge():
+      self.withheld_counts["hedge: no response yet"] += 1
+      shard.next_attempt_at = now + BUDGET_RECHECK_DELAY_S
+      return
     usable, chosen = self._choose_upstream(shard, now)
     if chosen is None and usable:
       self._wait_for_slot(shard, usable, now)
@@ -529,7 +590,9 @@
       if quantile is not None:
         quantile.record(now - attempt.started_at)
       return
-    if self._may_retry(shard):
+    if self._may_retry(shard) and not self._containment.may_send():
+      shard.next_attempt_at = now  # once an upstream has survived
+    elif self._may_retry(shard):
       self._retry(shard, now)
     else:
       shard.has_failed = not shard.has_pending
@@ -597,13 +660,14 @@
     shard.next_attempt_at = now + self._hedge_plan.min_delay_s
     if chosen.rate_limit is not None:
       chosen.rate_limit.spend(now)
+    self._containment.record_start()
     attempt = self._dependencies.sender.start(
       self._request,
       chosen,
       self._deadline - now,
       now,
       lambda ended: self._handle_ended_attempt(shard, ended),
-      is_idempotent=self._route.is_idempotent,
+      may_use_idle=self._route.is_idempotent and not shard.has_lost,
     )
     shard.attempts.append(attempt)
 
@@ -612,13 +676,34 @@
   ) -> None:
     """Counts an ended attempt for its rollout, queues it and wakes ``run``."""
     now = clock.read_monotonic()
-    self._dependencies.rollouts.record_attempt(attempt, self._route.name, now)
+    self._containment.record_end(attempt)
+    self._record_suspicion(attempt, now)
+    if not self._is_to_blame(attempt):
+      self._dependencies.rollouts.record_attempt(attempt, self._route.name, now)
     self._ended_attempts.append((shard, attempt))
     self._wake.set()
     self._dependencies.slot_queues.offer(
       attempt.service, attempt.upstream.instance.id, now
     )
 
+  def _record_suspicion(self, attempt: sending.Attempt, now: Seconds) -> None:
+    suspects = self._dependencies.suspects
+    if attempt.has_crashed:
+      suspects.record_crash(
+        self._request.fingerprint,
+        attempt.upstream.instance.id,
+        attempt.started_at,
+        now,
+      )
+    elif attempt.has_survived and not suspects.is_empty:
+      suspects.record_survival(self._request.fingerprint, now)
+
+  def _is_to_blame(self, attempt: sending.Attempt) -> bool:
+    """True if an upstream crashed by the request, not by its version."""
+    return attempt.has_crashed and self._dependencies.suspects.is_suspected(
+      self._request.fingerprint
+    )
+
   def _abandon_pending(self) -> None:
     for shard in self.shards:
       self._stop_waiting(shard)
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -13,9 +13,11 @@
 from bronzefold.core import clock
 from bronzefold.core import events
 from bronzefold.core import metrics
+from bronzefold.core import quarantine
 from bronzefold.core import stopping
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import changes
+from bronzefold.gateway import containment
 from bronzefold.gateway import fanout
 from bronzefold.gateway import hedging
 from bronzefold.gateway import inventory
@@ -96,6 +98,7 @@
     send_count: Number of requests sent to upstreams, all attempts included.
     metrics: Metrics of this node.
     token_source: Source of tokens for upstreams with a rate limit.
+    suspects: Requests that are suspected of crashing upstreams.
     answer_by: Monotonic time of the last response of a graceful stop.
   """
 
@@ -119,6 +122,7 @@
     self.send_count = 0
     self.metrics = metrics.Metrics()
     self.token_source: TokenSource = _LocalTokenSource()
+    self.suspects = quarantine.Quarantine()
     self.answer_by: Seconds = stopping.RUNNING
     self._settings = node_settings
     self._started_at = clock.read_monotonic()
@@ -135,6 +139,7 @@
       self._get_retry_budget,
       self._latency_quantiles,
       lambda upstream, now: self.token_source.request_tokens(upstream, now),
+      suspects=self.suspects,
     )
 
   def get_caller_limits(self) -> model.CallerLimits:
@@ -283,6 +288,49 @@
     if not stopping.may_accept(demand, self.answer_by, now):
       refusal = _make_refusal("leaving", RETRY_AFTER_S)
       return self._record_refusal(request, refusal)
+    verdict = quarantine.Verdict.ADMIT
+    if not self.suspects.is_empty:
+      verdict = self.suspects.judge(request.fingerprint, now)
+    if verdict is quarantine.Verdict.REJECT:
+      wait_s = self.suspects.get_wait(request.fingerprint, now)
+      refusal = _make_refusal("quarantined", round(wait_s, 3))
+      return self._record_refusal(request, refusal)
+    try:
+      caution = self._choose_caution(verdict, now)
+      return await self._serve(request, route, timeout_s, caution, now)
+    finally:
+      if verdict is quarantine.Verdict.PROBE:
+        self.suspects.end_probe(request.fingerprint)
+
+  def _choose_caution(
+    self, verdict: quarantine.Verdict, now: Seconds
+  ) -> containment.Caution:
+    if verdict is quarantine.Verdict.PROBE:
+      return containment.Caution.PROBE
+    if self.suspects.is_alert(now):
+      return containment.Caution.CANARY
+    return containment.Caution.NONE
+
+  async def _serve(
+    self,
+    request: model.Request,
+    route: model.Route,
+    timeout_s: Seconds,
+    caution: containment.Caution,
+    now: Seconds,
+  ) -> model.Response:
+    """Serves a request by its route.
+
+    Args:
+      request: The request.
+      route: Its route.
+      timeout_s: Time limit from the request's arrival, in seconds.
+      caution: How it is sent until an upstream has responded.
+      now: Monotonic time.
+
+    Returns:
+      The response.
+    """
     deadline = stopping.limit_deadline(
       request.received_at + timeout_s, self.answer_by
     )
@@ -292,7 +340,7 @@
         hedging.EARLIEST_QUANTILE
       )
     fan_out = fanout.FanOut(
-      self._dependencies, request, route, services, deadline
+      self._dependencies, request, route, services, deadline, caution=caution
     )
     await fan_out.run(now)
     response = (
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -117,6 +117,11 @@
     """True if its upstream refused the connection, as it has ended."""
     return isinstance(self.error, exceptions.ConnectRefusedError)
 
+  @property
+  def has_survived(self) -> bool:
+    """True if its upstream has run it and responded."""
+    return self.outcome in (Outcome.SERVED, Outcome.FAILED)
+
   @property
   def is_refused(self) -> bool:
     """True if its upstream received the request and did not run it."""
@@ -162,7 +167,7 @@
     now: Seconds,
     on_end: OnEnd,
     *,
-    is_idempotent: bool,
+    may_use_idle: bool,
   ) -> Attempt:
     """Starts an attempt.
 
@@ -172,14 +177,15 @@
       time_left_s: Time left until the request's deadline.
       now: Monotonic time.
       on_end: Called with the attempt once it has ended.
-      is_idempotent: True if the request may run more than once.
+      may_use_idle: False if the connection must be new or in recent use, as
+        the upstream may have forgotten one that was idle.
 
     Returns:
       The attempt, still pending.
     """
     attempt = Attempt(upstream, upstream.instance.service, now)
     upstream.health.in_flight[attempt.number] = now
-    max_idle_s = math.inf if is_idempotent else defaults.MAX_UNSAFE_IDLE_S
+    max_idle_s = math.inf if may_use_idle else defaults.MAX_UNSAFE_IDLE_S
     idle_connection = upstream.pool.acquire_idle(now, max_idle_s)
     if idle_connection is not None:
       self._send(attempt, idle_connection, request, time_left_s, on_end)
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -15,6 +15,7 @@
 
 from bronzefold.core import burn
 from bronzefold.core import exceptions
+from bronzefold.core import quarantine
 from bronzefold.core import ranges
 from bronzefold.store import messages as store_messages
 from bronzefold.upstreams import executor
@@ -343,3 +344,15 @@
   count: int
   wait_s: float
   requested_at: float
+
+
+@register_message("suspicions")
+@attrs.frozen
+class Suspicions:
+  """Requests that are suspected of crashing upstreams.
+
+  Attributes:
+    suspicions: What the sender knows of each.
+  """
+
+  suspicions: tuple[quarantine.Suspicion, ...]
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -119,6 +119,8 @@
       request arrives, which is not executed.
     rate_limit: Value of the header in which it announces a rate limit; empty
       for none.
+    deadly_target: Path and query of requests that crash it when it has run
+      them; empty for none.
     port: Port of 127.0.0.1; 0 until it first listens.
     received_requests: All requests that arrived.
     executed_ids: Ids of the requests that it executed.
@@ -138,6 +140,7 @@
   zone: str = "a"
   max_idle_s: float = math.inf
   rate_limit: str = ""
+  deadly_target: str = ""
   port: int = 0
   received_requests: list[ReceivedRequest] = attrs.field(factory=list)
   executed_ids: list[str] = attrs.field(factory=list)
@@ -205,6 +208,9 @@
       return True
     if self.behaviour not in NOT_EXECUTING:
       await self.execute(request, writer)
+    if request.target == self.deadly_target:
+      self.stop()
+      return False
     output = BEHAVIOURS[self.behaviour](self, request)
     if output.resets_connection:
       writer.transport.abort()
@@ -216,6 +222,12 @@
       await writer.drain()
     return output.keeps_connection
 
+  def stop(self) -> None:
+    """Ends it: nothing listens any more, and its connections are reset."""
+    self.server.close()
+    for writer in list(self.readers_by_writer):
+      writer.transport.abort()
+
   async def execute(
     self, request: ReceivedRequest, writer: asyncio.StreamWriter
   ) -> None:
@@ -710,9 +722,7 @@
     upstream.port = upstream.server.sockets[0].getsockname()[1]
 
   async def _stop_upstream(self, upstream: Upstream) -> None:
-    upstream.server.close()
-    for writer in list(upstream.readers_by_writer):
-      writer.transport.abort()
+    upstream.stop()
 
 
 def make_records(*numbers: int) -> bytes:
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -7,6 +7,8 @@
 
 from bronzefold.core import budgets
 from bronzefold.core import clock
+from bronzefold.core import exceptions
+from bronzefold.gateway import containment
 from bronzefold.gateway import fanout
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
@@ -27,9 +29,9 @@
     self.pending = []
 
   def start(
-    self, request, upstream, _time_left_s, now, on_end, *, is_idempotent
+    self, request, upstream, _time_left_s, now, on_end, *, may_use_idle
   ):
-    del is_idempotent
+    del may_use_idle
     upstream.pool.reserve()
     attempt = sending.Attempt(upstream, upstream.instance.service, now)
     self.pending.append((request, attempt, on_end))
@@ -50,6 +52,20 @@
       attempt.ended_at = clock.read_monotonic()
       on_end(attempt)
 
+  def crash(self, service):
+    """Ends the attempts at a service by a crash of their upstreams."""
+    ended = [item for item in self.pending if item[1].service == service]
+    for item in ended:
+      self.pending.remove(item)
+      _, attempt, on_end = item
+      attempt.upstream.pool.release(BROKEN_CONNECTION)
+      attempt.outcome = sending.Outcome.UNKNOWN
+      attempt.error = exceptions.UpstreamCrashedError("refused")
+      attempt.ended_at = clock.read_monotonic()
+      now = clock.read_monotonic()
+      attempt.upstream.health.record_failure(now, is_unreachable=True)
+      on_end(attempt)
+
   def list_sent(self, service):
     """Lists the ids of the requests in progress at a service."""
     return [
@@ -119,5 +135,123 @@
       self.sender.serve("ample")
 
 
+class CrashTest(unittest.IsolatedAsyncioTestCase):
+  """Three shards with two upstreams each, under searches that crash them."""
+
+  SHARDS = ("a", "b", "c")
+
+  async def asyncSetUp(self):
+    self.upstreams = inventory.Inventory(lambda _: 100)
+    now = clock.read_monotonic()
+    for service in self.SHARDS:
+      for number in range(2):
+        instance = model.Instance(
+          f"{service}-{number}", service, "10.0.0.1:1", "a", "v2"
+        )
+        self.upstreams.register(instance, now)
+    self.sender = ManualSender()
+    self.rollouts = rollouts.Rollouts()
+    self.blamed = []
+    self.rollouts.record_attempt = lambda attempt, *_: self.blamed.append(
+      attempt.service
+    )
+    budget = budgets.WindowBudget(ratio=0.2, slack=50.0, window_s=10.0)
+    self.dependencies = fanout.Dependencies(
+      sender=self.sender,
+      upstreams=self.upstreams,
+      rollouts=self.rollouts,
+      zone="a",
+      get_retry_budget=lambda _: budget,
+      latency_quantiles={},
+      request_tokens=lambda *_: None,
+    )
+
+  async def start_search(self, tasks, caution=containment.Caution.NONE):
+    now = clock.read_monotonic()
+    route = model.Route(
+      name="r",
+      host="h",
+      prefix="/",
+      shards=self.SHARDS,
+      is_idempotent=True,
+      latency_objective_s=5.0,
+      max_attempts=2,
+      top_k=1,
+      min_coverage=0.6,
+    )
+    request = gateways.make_request(now, timeout_s=10.0)
+    fan_out = fanout.FanOut(
+      self.dependencies,
+      request,
+      route,
+      route.shards,
+      now + 10.0,
+      caution=caution,
+    )
+    tasks.start_soon(fan_out.run, now)
+    await anyio.sleep(0.02)
+    return fan_out
+
+  def list_services(self):
+    return [attempt.service for _, attempt, _ in self.sender.pending]
+
+  async def test_search_spares_the_other_replicas_if_all_its_shards_crash(self):
+    with anyio.fail_after(2.0):
+      async with anyio.create_task_group() as tasks:
+        fan_out = await self.start_search(tasks)
+        for service in self.SHARDS:
+          self.sender.crash(service)
+          await anyio.sleep(0.02)
+    self.assertEqual([len(shard.attempts) for shard in fan_out.shards], [1] * 3)
+    self.assertEqual(fan_out.withheld_counts["upstreams crashed"], 3)
+
+  async def test_crashed_shards_are_retried_once_another_one_responds(self):
+    with anyio.fail_after(2.0):
+      async with anyio.create_task_group() as tasks:
+        fan_out = await self.start_search(tasks)
+        self.sender.crash("a")
+        self.sender.crash("b")
+        await anyio.sleep(0.02)
+        self.assertEqual(self.list_services(), ["c"])
+        self.sender.serve("c")
+        await anyio.sleep(0.02)
+        self.assertEqual(sorted(self.list_services()), ["a", "b"])
+        self.sender.serve("a")
+        self.sender.serve("b")
+    self.assertEqual(len(fan_out.served_shards), 3)
+
+  async def test_crashes_of_a_suspected_request_are_not_blamed_on_a_version(
+    self,
+  ):
+    async with anyio.create_task_group() as tasks:
+      await self.start_search(tasks)
+      for service in self.SHARDS:
+        self.sender.crash(service)
+    self.assertEqual(self.blamed, ["a"])
+
+  async def test_probe_goes_to_one_shard_and_on_after_its_response(self):
+    with anyio.fail_after(2.0):
+      async with anyio.create_task_group() as tasks:
+        await self.start_search(tasks, containment.Caution.PROBE)
+        (probed,) = self.list_services()
+        self.sender.serve(probed)
+        await anyio.sleep(0.02)
+        self.assertEqual(
+          sorted([probed, *self.list_services()]), list(self.SHARDS)
+        )
+        for service in self.SHARDS:
+          self.sender.serve(service)
+
+  async def test_probe_spares_the_last_usable_upstream_of_a_service(self):
+    now = clock.read_monotonic()
+    for service in self.SHARDS:
+      health = self.upstreams.find(f"{service}-0").health
+      health.record_failure(now, is_unreachable=True)
+    async with anyio.create_task_group() as tasks:
+      fan_out = await self.start_search(tasks, containment.Caution.PROBE)
+    self.assertEqual(self.list_services(), [])
+    self.assertFalse(fan_out.may_have_run)
+
+
 if __name__ == "__main__":
   unittest.main()
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -45,7 +45,7 @@
         5.0,
         now,
         lambda _: ended.set(),
-        is_idempotent=True,
+        may_use_idle=True,
       )
       await anyio.sleep(0.05)
       sender.abandon(attempt)
