Be careful with requests after a start, and spare the last sound upstream

And a probe went to the last upstream of a shard, since upstreams whose backoff had ended counted as usable. A node that has started sends searches to two shards first for 2 s; upstreams that have failed since their last response do not count as left.

--- a/packages/core/src/bronzefold/core/quarantine.py
+++ b/packages/core/src/bronzefold/core/quarantine.py
@@ -33,6 +33,8 @@
 MAX_RECORDS = 1024
 # About as long as a crashed upstream takes until it is back and warm.
 ALERT_S = 10.0
+# Time in which a node that has started hears what the others know.
+START_ALERT_S = 2.0
 _MAX_STRIKES = 5  # the quarantine has its full length by then
 
 _logger = logging.getLogger(__name__)
@@ -124,11 +126,16 @@
       changed, and the monotonic time.
   """
 
-  def __init__(self) -> None:
-    """Creates a quarantine that knows of no request."""
+  def __init__(self, started_at: Seconds = -math.inf) -> None:
+    """Creates a quarantine that knows of no request.
+
+    Args:
+      started_at: Monotonic time at which the node started, for a while after
+        which it is alert; a node without others has nothing to hear.
+    """
     self.on_change: OnChange = lambda suspicion, now: None
     self._records: dict[str, _Record] = {}
-    self._alert_until: Seconds = -math.inf
+    self._alert_until = started_at + START_ALERT_S
 
   @property
   def is_empty(self) -> bool:
@@ -154,7 +161,7 @@
     return Verdict.PROBE
 
   def is_alert(self, now: Seconds) -> bool:
-    """True if a request became suspected a short time ago.
+    """True if a request became suspected, or the node started, lately.
 
     Args:
       now: Monotonic time.
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -405,7 +405,7 @@
         shard.has_failed = True
       return
     if self._containment.caution is not containment.Caution.NONE:
-      choices.sort(key=lambda choice: -len(choice[1]))
+      choices.sort(key=lambda choice: -_count_sound(choice[1]))
     for shard, usable, chosen in choices:
       if self._containment.may_send():
         self._send_first(shard, usable, chosen, now)
@@ -413,7 +413,7 @@
         shard.next_attempt_at = now
 
   def _is_last_of_probe(self, choices: list[_Choice], now: Seconds) -> bool:
-    """True if a probe could only go to the last usable upstream of a service.
+    """True if a probe could only go to the last sound upstream of a service.
 
     The others return soon; until then, its loss would be worse than that of a
     request that is likely to crash it.
@@ -422,7 +422,7 @@
       return False
     list_candidates = self._dependencies.upstreams.list_candidates
     return all(
-      len(usable) < 2 <= len(list_candidates(shard.service, now))
+      _count_sound(usable) < 2 <= len(list_candidates(shard.service, now))
       for shard, usable, _ in choices
     )
 
@@ -716,6 +716,11 @@
   return frozenset(upstream.instance.id for upstream in upstreams)
 
 
+def _count_sound(upstreams: Iterable[inventory.Upstream]) -> int:
+  """Counts the upstreams that have not failed since their last response."""
+  return sum(not upstream.health.failures for upstream in upstreams)
+
+
 def _get_resume_time(
   shard: ShardRequest, upstream: inventory.Upstream
 ) -> Seconds:
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -122,7 +122,7 @@
     self.send_count = 0
     self.metrics = metrics.Metrics()
     self.token_source: TokenSource = _LocalTokenSource()
-    self.suspects = quarantine.Quarantine()
+    self.suspects = quarantine.Quarantine(clock.read_monotonic())
     self.answer_by: Seconds = stopping.RUNNING
     self._settings = node_settings
     self._started_at = clock.read_monotonic()
--- a/tests/test_deadly.py
+++ b/tests/test_deadly.py
@@ -116,6 +116,12 @@
     self.assertEqual(restarted.send(DEADLY).status, 503)
     self.assertEqual(self.count_crashed(), len(SHARDS))
 
+  def test_node_that_has_just_started_risks_two_upstreams(self):
+    alone = self.start("n9", seeds=("127.0.0.1:9",), ip="127.0.0.9")
+    alone.send(DEADLY)
+    time.sleep(0.5)
+    self.assertLessEqual(self.count_crashed(), 2)
+
   def test_lost_connections_to_sound_upstreams_are_no_suspicion(self):
     for upstream in self.site.upstreams.values():
       upstream.behaviour = "reset"
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -242,6 +242,15 @@
         for service in self.SHARDS:
           self.sender.serve(service)
 
+  async def test_upstream_that_failed_lately_does_not_count_as_left(self):
+    now = clock.read_monotonic()
+    for service in self.SHARDS:
+      health = self.upstreams.find(f"{service}-0").health
+      health.record_failure(now - 10.0, is_unreachable=True)
+    async with anyio.create_task_group() as tasks:
+      await self.start_search(tasks, containment.Caution.PROBE)
+    self.assertEqual(self.list_services(), [])
+
   async def test_probe_spares_the_last_usable_upstream_of_a_service(self):
     now = clock.read_monotonic()
     for service in self.SHARDS:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -128,6 +128,11 @@
     self.assertTrue(self.suspects.is_alert(10.0))
     self.assertFalse(self.suspects.is_alert(10.0 + quarantine.ALERT_S))
 
+  def test_node_that_has_started_is_alert(self):
+    suspects = quarantine.Quarantine(started_at=10.0)
+    self.assertTrue(suspects.is_alert(10.5))
+    self.assertFalse(suspects.is_alert(10.0 + quarantine.START_ALERT_S))
+
   def test_number_of_records_is_bounded(self):
     for number in range(quarantine.MAX_RECORDS + 100):
       self.crash(3, 10.0 + number / 1e3, fingerprint=f"f{number}")
