Send callers to nodes that reach upstreams

What callers saw: nodes that were cut off from all upstreams refused everything within 1 ms for as long as the cut lasted (0 of 99 first tries served, 341 of 341 elsewhere), and the directory of every node went on naming them.

Cause: a node's state said nothing about its upstreams; each upstream's health is judged by itself, with backoffs that end at different times. Class: liveness taken for usefulness.

Change: a node that has heard from no upstream for 0.25 s while several owe it responses opens connections to three of them. If it reaches none, it logs event 721 and tells its neighbours at once; directories name the nodes that reach upstreams, or all if none does. It probes until one answers (event 722), and then forgets the upstreams' failures, which were its own.

Tests: tests.test_reach.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -254,6 +254,15 @@
   logging.INFO,
   "An upstream has responded to a suspected request.",
 )
+UPSTREAMS_UNREACHABLE = _register(
+  721,
+  "upstreams_unreachable",
+  logging.WARNING,
+  "This node reaches none of the upstreams.",
+)
+UPSTREAMS_REACHED = _register(
+  722, "upstreams_reached", logging.INFO, "This node reaches upstreams again."
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -189,6 +189,16 @@
     self._members.set_state(membership.LEAVING)
     self._send_heartbeats(self._topology.neighbours, now)
 
+  def set_reach(self, is_lost: bool, now: Seconds) -> None:
+    """Announces to all neighbours whether this node reaches upstreams.
+
+    Args:
+      is_lost: True if it reaches none.
+      now: Monotonic time.
+    """
+    self._members.set_reach(not is_lost)
+    self._send_heartbeats(self._topology.neighbours, now)
+
   def list_entry_addresses(self, now: Seconds) -> list[str]:
     """Lists the caller addresses of the entry nodes.
 
--- a/packages/gateway/src/bronzefold/gateway/directory.py
+++ b/packages/gateway/src/bronzefold/gateway/directory.py
@@ -52,7 +52,7 @@
     reported = [] if is_hub else self._list_reported(now)
     if reported:
       return reported[:MAX_ADDRESSES]
-    serving = self._members.list_serving(now)
+    serving = self._members.list_useful(now)
     chosen = topology.choose_entry_nodes(serving, sum_demand(serving))
     return [member.caller_address for member in chosen[:MAX_ADDRESSES]]
 
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -24,6 +24,7 @@
 from bronzefold.gateway import merges
 from bronzefold.gateway import model
 from bronzefold.gateway import ratelimits
+from bronzefold.gateway import reach
 from bronzefold.gateway import rollouts
 from bronzefold.gateway import routing
 from bronzefold.gateway import selection
@@ -99,6 +100,7 @@
     metrics: Metrics of this node.
     token_source: Source of tokens for upstreams with a rate limit.
     suspects: Requests that are suspected of crashing upstreams.
+    path: Path to the upstreams.
     answer_by: Monotonic time of the last response of a graceful stop.
   """
 
@@ -123,6 +125,7 @@
     self.metrics = metrics.Metrics()
     self.token_source: TokenSource = _LocalTokenSource()
     self.suspects = quarantine.Quarantine(clock.read_monotonic())
+    self.path = reach.Reach()
     self.answer_by: Seconds = stopping.RUNNING
     self._settings = node_settings
     self._started_at = clock.read_monotonic()
@@ -132,7 +135,7 @@
     self._retry_budgets: dict[str, budgets.WindowBudget] = {}
     self._latency_quantiles: dict[str, budgets.LatencyQuantile] = {}
     self._dependencies = fanout.Dependencies(
-      sending.Sender(protocol, tasks, self._record_rate_limit),
+      sending.Sender(protocol, tasks, self._record_rate_limit, self.path),
       self.upstreams,
       self.rollouts,
       node_settings.zone,
--- a/packages/gateway/src/bronzefold/gateway/health.py
+++ b/packages/gateway/src/bronzefold/gateway/health.py
@@ -96,6 +96,24 @@
       now - max(oldest_started_at, self.last_success_at) > self.stall_after_s
     )
 
+  def is_silent(self, after_s: Seconds, now: Seconds) -> bool:
+    """True if the upstream has failed, or a request got no response for long.
+
+    Args:
+      after_s: Time after which a request counts, in seconds.
+      now: Monotonic time.
+    """
+    if self.failures:
+      return True
+    return any(
+      now - started_at >= after_s for started_at in self.in_flight.values()
+    )
+
+  def forget_failures(self) -> None:
+    """Makes the upstream usable again, as its failures had another cause."""
+    self.failures = 0
+    self.down_until = 0.0
+
   @property
   def stall_after_s(self) -> Seconds:
     """Time without a response after which the upstream counts as stalled."""
--- a/packages/gateway/src/bronzefold/gateway/inventory.py
+++ b/packages/gateway/src/bronzefold/gateway/inventory.py
@@ -99,6 +99,14 @@
       )
     ]
 
+  def list_all(self) -> list[Upstream]:
+    """Lists the upstreams that are registered."""
+    return [
+      upstream
+      for upstream in self._upstreams.values()
+      if upstream.leaving_since is None
+    ]
+
   def find(self, instance_id: str) -> Upstream | None:
     """Returns the upstream of an instance; None if it is unknown."""
     return self._upstreams.get(instance_id)
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -30,6 +30,7 @@
 from bronzefold.gateway import follower
 from bronzefold.gateway import gateway as gateways
 from bronzefold.gateway import model
+from bronzefold.gateway import reach
 from bronzefold.gateway import registration
 from bronzefold.gateway import replica
 from bronzefold.gateway import sending
@@ -132,6 +133,9 @@
       self._fleet.must_read_store,
       self._fleet.get_watch_wait,
     )
+    self._reach_checker = reach.ReachChecker(
+      self._gateway.path, self._gateway.upstreams, self._fleet.set_reach
+    )
     self._registrar = registration.Registrar(
       store_client, store_replica, self._members, self._fleet
     )
@@ -157,6 +161,7 @@
     self._tasks.start_soon(supervision.supervise, self._registrar.run)
     self._tasks.start_soon(supervision.supervise, self._writer.run)
     self._tasks.start_soon(supervision.supervise, self._poll_settings)
+    self._tasks.start_soon(supervision.supervise, self._reach_checker.run)
     await self._server.serve(sockets=sockets)
     events.NODE_STOPPED.log(_logger, node=self._settings.node)
 
--- /dev/null
+++ b/packages/gateway/src/bronzefold/gateway/reach.py
@@ -0,0 +1,171 @@
+"""Whether this node reaches any upstream at all.
+
+Answers a partition between a node and all upstreams, while callers, the store
+and other nodes still reach it. The health of each upstream shows only that one;
+their backoffs end at different times.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Collection
+import logging
+import math
+import random
+
+import anyio
+import attrs
+
+from bronzefold.core import clock
+from bronzefold.core import events
+from bronzefold.core import exceptions
+from bronzefold.core.clock import Seconds
+from bronzefold.gateway import inventory
+from bronzefold.upstreams import channel
+
+# Twice a usual pause of an upstream; under load some response arrives sooner.
+SILENCE_S = 0.25
+MIN_SILENT_UPSTREAMS = 3
+PROBE_COUNT = 3
+PROBE_TIMEOUT_S = 0.15  # 25 times a TCP handshake of 6 ms
+CHECK_PERIOD_S = 0.1
+
+_logger = logging.getLogger(__name__)
+
+OnChange = Callable[[bool, Seconds], None]
+
+
+@attrs.define(eq=False)
+class Reach:
+  """What this node knows of its path to the upstreams.
+
+  Attributes:
+    is_lost: True while no upstream can be reached.
+    responded_at: Monotonic time of the last response of any upstream.
+  """
+
+  is_lost: bool = False
+  responded_at: Seconds = -math.inf
+
+  def is_doubtful(
+    self, upstreams: Collection[inventory.Upstream], now: Seconds
+  ) -> bool:
+    """Decides whether the path to the upstreams must be checked.
+
+    Args:
+      upstreams: All upstreams.
+      now: Monotonic time.
+
+    Returns:
+      True if it is lost, or if several upstreams and no other one have been
+      silent for a while.
+    """
+    if self.is_lost:
+      return True
+    if now - self.responded_at < SILENCE_S:
+      return False
+    silent_count = sum(
+      upstream.health.is_silent(SILENCE_S, now) for upstream in upstreams
+    )
+    return 0 < min(len(upstreams), MIN_SILENT_UPSTREAMS) <= silent_count
+
+  def record_response(self, now: Seconds) -> None:
+    """Records that an upstream has responded."""
+    self.responded_at = now
+
+  def record_check(self, is_reached: bool, started_at: Seconds) -> bool:
+    """Records the result of a check.
+
+    Args:
+      is_reached: True if any of the probed upstreams was reached.
+      started_at: Monotonic time of its start; a later response outweighs it.
+
+    Returns:
+      True if that changed ``is_lost``.
+    """
+    was_lost = self.is_lost
+    self.is_lost = not is_reached and self.responded_at < started_at
+    return self.is_lost != was_lost
+
+
+class ReachChecker:
+  """Checks the path to the upstreams whenever it is in doubt."""
+
+  def __init__(
+    self,
+    path: Reach,
+    upstreams: inventory.Inventory,
+    on_change: OnChange,
+  ) -> None:
+    """Creates a checker; ``run`` is a task.
+
+    Args:
+      path: What this node knows of its path to the upstreams.
+      upstreams: The inventory of upstreams.
+      on_change: Called with True if the path was lost, False if it is back, and
+        with the monotonic time.
+    """
+    self._path = path
+    self._upstreams = upstreams
+    self._on_change = on_change
+
+  async def run(self) -> None:
+    """Checks the path until cancelled."""
+    while True:
+      now = clock.read_monotonic()
+      upstreams = self._upstreams.list_all()
+      if self._path.is_doubtful(upstreams, now):
+        await self._check(upstreams, now)
+      await anyio.sleep(CHECK_PERIOD_S)
+
+  async def _check(
+    self, upstreams: list[inventory.Upstream], now: Seconds
+  ) -> None:
+    probed = random.sample(upstreams, min(PROBE_COUNT, len(upstreams)))
+    is_reached = await _any_true(
+      [lambda upstream=upstream: _probe(upstream) for upstream in probed]
+    )
+    if not self._path.record_check(is_reached, now):
+      return
+    event = (
+      events.UPSTREAMS_UNREACHABLE
+      if self._path.is_lost
+      else events.UPSTREAMS_REACHED
+    )
+    event.log(
+      _logger,
+      probed=[upstream.instance.id for upstream in probed],
+      silent_s=round(min(now - self._path.responded_at, 1e6), 3),
+    )
+    if not self._path.is_lost:
+      for upstream in upstreams:
+        upstream.health.forget_failures()
+    self._on_change(self._path.is_lost, clock.read_monotonic())
+
+
+async def _probe(upstream: inventory.Upstream) -> bool:
+  """Returns whether a connection to an upstream can be opened."""
+  try:
+    connection = await channel.open_channel(
+      upstream.instance.address, PROBE_TIMEOUT_S
+    )
+  except exceptions.ConnectFailedError:
+    return False
+  connection.close()
+  return True
+
+
+async def _any_true(works: list[Callable[[], Awaitable[bool]]]) -> bool:
+  """Runs functions at the same time until one of them returns True."""
+  results: list[bool] = []
+  async with anyio.create_task_group() as tasks:
+
+    async def run(work: Callable[[], Awaitable[bool]]) -> None:
+      results.append(await work())
+      if results[-1]:
+        tasks.cancel_scope.cancel()
+
+    for work in works:
+      tasks.start_soon(run, work)
+  return any(results)
--- a/packages/gateway/src/bronzefold/gateway/registration.py
+++ b/packages/gateway/src/bronzefold/gateway/registration.py
@@ -214,5 +214,7 @@
   Args:
     member: The node.
   """
-  lasting = attrs.evolve(member, state=membership.STARTING, demand=0.0)
+  lasting = attrs.evolve(
+    member, state=membership.STARTING, demand=0.0, reaches_upstreams=True
+  )
   return msgspec.json.encode(lasting).decode()
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -20,6 +20,7 @@
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
+from bronzefold.gateway import reach
 from bronzefold.upstreams import channel
 
 CONNECT_TIMEOUT_S = 0.3  # 50 times a TCP handshake of 6 ms
@@ -146,6 +147,7 @@
     protocol: UpstreamProtocol,
     tasks: abc.TaskGroup,
     on_response: OnResponse,
+    path: reach.Reach,
   ) -> None:
     """Creates a sender.
 
@@ -154,7 +156,9 @@
       tasks: Task group in which connections are opened.
       on_response: Called with the upstream, each response of its own and the
         monotonic time.
+      path: Path to the upstreams.
     """
+    self._path = path
     self._protocol = protocol
     self._tasks = tasks
     self._on_response = on_response
@@ -337,6 +341,7 @@
     now = clock.read_monotonic()
     health = attempt.upstream.health
     response = self._protocol.decode_response(raw)
+    self._path.record_response(now)
     if not response.is_misdirected:
       self._on_response(attempt.upstream, response, now)
     if response.did_not_run:
--- a/packages/peers/src/bronzefold/peers/membership.py
+++ b/packages/peers/src/bronzefold/peers/membership.py
@@ -50,6 +50,7 @@
     capacity: Processor cores that it may use.
     demand: Processor cores that its requests use; 0 until its first
       heartbeat.
+    reaches_upstreams: False while it reaches none of the upstreams.
   """
 
   node: str
@@ -59,6 +60,7 @@
   peer_address: str
   capacity: float = 1.0
   demand: float = 0.0
+  reaches_upstreams: bool = True
 
   @classmethod
   def from_heartbeat(cls, heartbeat: messages.Heartbeat) -> Self:
@@ -71,6 +73,7 @@
       peer_address=heartbeat.peer_address,
       capacity=heartbeat.capacity,
       demand=heartbeat.demand,
+      reaches_upstreams=heartbeat.reaches_upstreams,
     )
 
 
@@ -140,6 +143,12 @@
     """Sets how many processor cores this node's requests use."""
     self.own_member = attrs.evolve(self.own_member, demand=demand)
 
+  def set_reach(self, reaches_upstreams: bool) -> None:
+    """Sets whether this node reaches any upstream."""
+    self.own_member = attrs.evolve(
+      self.own_member, reaches_upstreams=reaches_upstreams
+    )
+
   def register(self, member: Member) -> None:
     """Adds or replaces a member after its entry in the store was written."""
     self._registered_members[member.node] = member
@@ -251,6 +260,7 @@
       echo=self.get_echo(receiver),
       capacity=self.own_member.capacity,
       demand=self.own_member.demand,
+      reaches_upstreams=self.own_member.reaches_upstreams,
     )
 
   def get_store_contact_age(self, now: Seconds) -> Seconds | None:
@@ -286,6 +296,17 @@
     own_members = [self.own_member] if self.own_member.state == SERVING else []
     return own_members + others
 
+  def list_useful(self, now: Seconds) -> list[Member]:
+    """Lists the serving nodes that reach upstreams; all if none does.
+
+    If no node reaches them, the upstreams are gone, not the paths to them.
+
+    Args:
+      now: Monotonic time.
+    """
+    serving = self.list_serving(now)
+    return [m for m in serving if m.reaches_upstreams] or serving
+
   def is_partial_mesh(self) -> bool:
     """True when updates reach some nodes only through other nodes."""
     return len(self.list_others()) >= MAX_FULL_MESH_NODES
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -91,6 +91,7 @@
     demand: Processor cores that its requests use.
     entry_addresses: Caller addresses of the entry nodes that a hub of a gateway
       knows to be alive; empty in heartbeats to nodes that are not its spokes.
+    reaches_upstreams: False while the node reaches none of the upstreams.
   """
 
   node: str
@@ -106,6 +107,7 @@
   capacity: float = 1.0
   demand: float = 0.0
   entry_addresses: tuple[str, ...] = ()
+  reaches_upstreams: bool = True
 
 
 @register_message("sync_request")
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -81,6 +81,7 @@
     seeds: tuple[str, ...] = (),
     ratio: float = 0.2,
     slack: float = 56,
+    module: str = "bronzefold.platform",
   ) -> None:
     """Starts a node.
 
@@ -94,8 +95,10 @@
       seeds: Peer addresses of other nodes.
       ratio: Extra requests allowed for each request.
       slack: Extra requests allowed in addition to those, in each window.
+      module: The program; ``tests.cut_node`` for one that can be cut off.
     """
     self.name = name
+    self._module = module
     self.temporary_directory = tempfile.TemporaryDirectory(prefix="bronzefold-")
     ports = fleet.find_ports(6)
     (
@@ -122,6 +125,7 @@
       "slack": slack,
       "store": site.store_address,
     }
+    self._cut_path = pathlib.Path(self.temporary_directory.name) / "cut"
     self.write_settings()
     self.log_path = pathlib.Path(self.temporary_directory.name) / "log"
     self.start()
@@ -130,7 +134,7 @@
     """Starts the process; used again after it has ended."""
     with self.log_path.open("ab") as stream:
       self.popen = subprocess.Popen(
-        [sys.executable, "-m", "bronzefold.platform"],
+        [sys.executable, "-m", self._module],
         stdout=stream,
         stderr=stream,
         cwd=fleet.ROOT,
@@ -138,9 +142,17 @@
           **os.environ,
           "BRONZEFOLD_CONFIG": str(self._path),
           "BRONZEFOLD_METRICS_PORT": str(self.metrics_port),
+          "BRONZEFOLD_TEST_CUT": str(self._cut_path),
         },
       )
 
+  def set_cut(self, is_cut: bool) -> None:
+    """Cuts all paths to upstreams, or restores them."""
+    if is_cut:
+      self._cut_path.touch()
+    else:
+      self._cut_path.unlink()
+
   def write_settings(self, **changed: Any) -> None:
     """Writes the settings file, with changed values."""
     self._values.update(changed)
--- /dev/null
+++ b/tests/test_reach.py
@@ -0,0 +1,152 @@
+"""Nodes that reach no upstream, while callers and other nodes reach them."""
+
+import threading
+import time
+import types
+import unittest
+
+from bronzefold.gateway import health
+from bronzefold.gateway import reach
+from tests import gateways
+from tests.standins import site as sites
+
+SHARDS = ("s0", "s1", "s2", "s3")
+CONTACT_S = 4.0  # time in which the users' pages allow a cut to be noticed
+
+
+def make_upstreams(count, *, started_at=None, failures=0):
+  """Makes upstreams with an attempt in progress or with failures."""
+  in_flight = {} if started_at is None else {1: started_at}
+  return [
+    types.SimpleNamespace(
+      health=health.Health(failures=failures, in_flight=in_flight)
+    )
+    for _ in range(count)
+  ]
+
+
+class ReachTest(unittest.TestCase):
+  """When a node doubts that it reaches upstreams, without a network."""
+
+  def setUp(self):
+    self.path = reach.Reach()
+    self.path.record_response(10.0)
+
+  def test_silence_of_many_upstreams_is_doubtful(self):
+    silent = make_upstreams(5, started_at=10.0)
+    self.assertFalse(self.path.is_doubtful(silent, 10.1))
+    self.assertTrue(self.path.is_doubtful(silent, 10.0 + reach.SILENCE_S))
+
+  def test_silence_without_requests_is_not(self):
+    self.assertFalse(self.path.is_doubtful(make_upstreams(5), 100.0))
+    self.assertFalse(self.path.is_doubtful([], 100.0))
+
+  def test_two_silent_upstreams_are_not_unless_there_are_no_others(self):
+    two = make_upstreams(2, failures=1)
+    self.assertFalse(self.path.is_doubtful(two + make_upstreams(3), 11.0))
+    self.assertTrue(self.path.is_doubtful(two, 11.0))
+
+  def test_any_response_outweighs_failed_probes(self):
+    self.path.record_response(11.0)
+    self.assertFalse(self.path.record_check(False, started_at=10.9))
+    self.assertFalse(self.path.is_lost)
+
+  def test_path_is_lost_until_a_probe_succeeds(self):
+    self.assertTrue(self.path.record_check(False, started_at=11.0))
+    self.assertTrue(self.path.is_doubtful(make_upstreams(5), 11.0))
+    self.assertFalse(self.path.record_check(False, started_at=12.0))
+    self.assertTrue(self.path.record_check(True, started_at=13.0))
+    self.assertFalse(self.path.is_lost)
+
+
+class StrandedNodesTest(unittest.TestCase):
+  """Three nodes, two of which are cut off from all upstreams."""
+
+  def setUp(self):
+    self.site = self.enterContext(sites.Site())
+    for service in (*SHARDS, "shop"):
+      for number in range(2):
+        self.site.add_upstream(
+          sites.Upstream(
+            f"i-{service}-{number}", service, sites.make_records(7)
+          )
+        )
+    routes = [
+      sites.make_route("search", gather=list(SHARDS), topK=1, minCoverage=0.9),
+      sites.make_route("plain", service="shop"),
+      sites.make_route("once", service="shop", type="non_idempotent"),
+    ]
+    self.site.put("op/config", sites.make_configuration(5, routes))
+    first = self.start("n0", seeds=("127.0.0.1:9",))
+    self.nodes = [first] + [
+      self.start(
+        f"n{number}", ip=f"127.0.0.{number + 1}", peer_port=first.peer_port
+      )
+      for number in (1, 2)
+    ]
+    self.addresses = [f"127.0.0.1:{node.front_port}" for node in self.nodes]
+    self.wait_for_directory(self.addresses)
+
+  def start(self, name, **options):
+    node = gateways.Node(self.site, name, module="tests.cut_node", **options)
+    self.enterContext(node)
+    node.wait_ready()
+    return node
+
+  def wait_for_directory(self, addresses):
+    for node in self.nodes:
+      gateways.wait_until(
+        lambda node=node: set(node.resolve_addresses()) == set(addresses),
+        f"{len(addresses)} nodes in the directory",
+        CONTACT_S,
+      )
+
+  def press(self, nodes):
+    """Sends searches to nodes from now on, so that they notice a cut."""
+    stop = threading.Event()
+
+    def run(node):
+      while not stop.is_set():
+        node.send("/search/x", deadline_ms=600)
+        time.sleep(0.05)
+
+    threads = [threading.Thread(target=run, args=(node,)) for node in nodes]
+    for thread in threads:
+      thread.start()
+
+    def end():
+      stop.set()
+      for thread in threads:
+        thread.join()
+
+    self.addCleanup(end)
+
+  def cut(self, nodes):
+    """Cuts nodes off from upstreams and waits until they know."""
+    self.press(nodes)
+    for node in nodes:
+      node.set_cut(True)
+    for node in nodes:
+      gateways.wait_until(
+        lambda node=node: node.read_events("upstreams_unreachable"),
+        "the node knows",
+        CONTACT_S,
+      )
+
+  def test_directory_names_nodes_that_reach_upstreams_only(self):
+    self.cut(self.nodes[:2])
+    self.wait_for_directory(self.addresses[2:])
+    for node in self.nodes[:2]:
+      node.set_cut(False)
+    self.wait_for_directory(self.addresses)
+    for node in self.nodes:
+      self.assertEqual(node.send("/search/x").status, 200)
+
+  def test_directory_names_all_nodes_if_none_reaches_upstreams(self):
+    self.cut(self.nodes)
+    time.sleep(1.0)
+    self.wait_for_directory(self.addresses)
+
+
+if __name__ == "__main__":
+  unittest.main()
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -8,6 +8,7 @@
 from bronzefold.core import clock
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
+from bronzefold.gateway import reach
 from bronzefold.gateway import sending
 from bronzefold.platform import upstreams
 from bronzefold.upstreams import channel
@@ -36,7 +37,7 @@
     ended = anyio.Event()
     async with anyio.create_task_group() as tasks:
       sender = sending.Sender(
-        upstreams.UpstreamProtocol(), tasks, lambda *_: None
+        upstreams.UpstreamProtocol(), tasks, lambda *_: None, reach.Reach()
       )
       now = clock.read_monotonic()
       attempt = sender.start(
