Have requests served by other nodes while a node reaches no upstream

Change: a node that reaches no upstream sends the request over its link to a neighbour that does (messages relayed_request and relayed_response), for as many attempts as its route has left. Idempotent requests in progress at the cut follow; others only if they certainly did not run. A node whose own upstreams have been silent for 0.12 s refuses, so the next one is asked. A node that stops finishes what it serves for others.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -263,6 +263,12 @@
 UPSTREAMS_REACHED = _register(
   722, "upstreams_reached", logging.INFO, "This node reaches upstreams again."
 )
+REQUEST_RELAYED = _register(
+  723,
+  "request_relayed",
+  logging.INFO,
+  "Another node was asked to serve a request.",
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -20,6 +20,7 @@
 from bronzefold.gateway import directory
 from bronzefold.gateway import follower
 from bronzefold.gateway import gateway as gateways
+from bronzefold.gateway import relay
 from bronzefold.gateway import replica
 from bronzefold.gateway import rollouts
 from bronzefold.gateway import tokens
@@ -48,6 +49,9 @@
 
   Exchanges heartbeats with the neighbours, forwards changes of the store to
   spokes, relays version counts, and computes this node's share of all limits.
+
+  Attributes:
+    relay: Serves requests of nodes that reach no upstream.
   """
 
   def __init__(
@@ -88,6 +92,10 @@
       members, network, gateway.upstreams, lambda: self._topology
     )
     gateway.token_source = self._tokens
+    self.relay = relay.Relay(
+      members, network, lambda: self._topology, gateway.serve_relayed
+    )
+    gateway.relay = self.relay
     self._crash_reports = crashreports.CrashReportExchange(
       network, gateway.suspects, lambda: self._topology
     )
@@ -232,6 +240,10 @@
       self._tokens.handle_request(sender, message, now)
     elif isinstance(message, messages.TokenGrant):
       self._tokens.handle_grant(message, now)
+    elif isinstance(message, relay.RelayedRequest):
+      await self.relay.handle_request(sender, message, now)
+    elif isinstance(message, messages.Cancel):
+      self.relay.cancel(message.request)
     elif isinstance(message, messages.CrashReports):
       self._crash_reports.handle_message(message, now)
 
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -139,6 +139,7 @@
     hedge_count: Number of attempts started while another one was pending.
     retry_count: Number of attempts started after a failed one.
     withheld_counts: Number of attempts that were not started, by reason.
+    must_hand_over: Returns True if another node is to serve the request.
     token_wait_s: Time until rate limits may permit the request; 0 if they did
       not prevent it.
   """
@@ -163,6 +164,7 @@
       deadline: Monotonic time at which the response to the caller is due.
       caution: How it is sent until an upstream has responded.
     """
+    self.must_hand_over: Callable[[], bool] = lambda: False
     self.shards = [ShardRequest(service) for service in services]
     self.hedge_count = 0
     self.retry_count = 0
@@ -191,6 +193,11 @@
     """The shards that succeeded."""
     return [shard for shard in self.shards if shard.part is not None]
 
+  @property
+  def max_run_count(self) -> int:
+    """Greatest number of upstreams that may have run it for one shard."""
+    return max(shard.run_count for shard in self.shards)
+
   @property
   def may_have_run(self) -> bool:
     """True unless it is certain that no attempt ran."""
@@ -310,8 +317,8 @@
     """True once waiting longer is useless or not worth it.
 
     That is when all shards are finished, at the deadline, when the coverage
-    can't be reached any more, or, for a search with enough coverage, when the
-    latency objective is near.
+    can't be reached any more or only by another node, or, for a search with
+    enough coverage, when the latency objective is near.
     """
     open_count = self._count_open_shards()
     part_count = len(self.served_shards)
@@ -319,6 +326,8 @@
       return True
     if part_count + open_count < self._min_parts:
       return True
+    if part_count < self._min_parts and self.must_hand_over():
+      return True
     return (
       bool(self._route.shards)
       and now >= self._respond_at
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -25,6 +25,7 @@
 from bronzefold.gateway import model
 from bronzefold.gateway import ratelimits
 from bronzefold.gateway import reach
+from bronzefold.gateway import relay
 from bronzefold.gateway import rollouts
 from bronzefold.gateway import routing
 from bronzefold.gateway import selection
@@ -37,8 +38,13 @@
 MAX_RETRY_AFTER_S = 1.0  # a rate limit may end at any moment
 RETRY_AFTER_S = 0.05  # another node serves the request at once
 NOT_READY_RETRY_AFTER_S = 0.3  # about as long as a node takes to start
+# A node whose upstreams have been silent for so long takes no requests from
+# others; half of ``reach.SILENCE_S``, as it may not know of a cut yet.
+MAX_RELAY_SILENCE_S = 0.12
 # Refusals for want of upstreams, whose return is estimated.
 _UNSERVED_OUTCOMES = frozenset({"coverage_too_small", "not_run"})
+# Outcomes of requests that were sent and got no response.
+_LOST_OUTCOMES = frozenset({"answer_lost", "timed_out"})
 # With 0.65, nodes had too few connections, which lowered the benchmark's score
 # by 0.01 on quiet days.
 CONNECTION_LIMIT_SHARE = 0.95
@@ -75,6 +81,18 @@
     """Informs other nodes that an upstream's rate limit has changed."""
 
 
+class RequestRelay(Protocol):
+  """Has requests served by other nodes."""
+
+  def list_targets(self, now: Seconds) -> list[str]:
+    """Lists the nodes that may serve a request."""
+
+  async def send(
+    self, request: model.Request, max_attempts: int, deadline: Seconds
+  ) -> model.Response | None:
+    """Has a request served by another node; None if no node ran it."""
+
+
 class _LocalTokenSource:
   """Allocates tokens to a node that has no peers."""
 
@@ -101,6 +119,8 @@
     token_source: Source of tokens for upstreams with a rate limit.
     suspects: Requests that are suspected of crashing upstreams.
     path: Path to the upstreams.
+    relay: Has requests served by nodes that reach upstreams; None on a node
+      that has no peers.
     answer_by: Monotonic time of the last response of a graceful stop.
   """
 
@@ -126,6 +146,7 @@
     self.token_source: TokenSource = _LocalTokenSource()
     self.suspects = quarantine.Quarantine(clock.read_monotonic())
     self.path = reach.Reach()
+    self.relay: RequestRelay | None = None
     self.answer_by: Seconds = stopping.RUNNING
     self._settings = node_settings
     self._started_at = clock.read_monotonic()
@@ -262,11 +283,33 @@
     candidates = self.upstreams.list_candidates(service, now)
     return bool(selection.list_usable(candidates, (), now))
 
-  async def handle_request(self, request: model.Request) -> model.Response:
+  async def serve_relayed(
+    self, request: model.Request, max_attempts: int
+  ) -> model.Response:
+    """Handles a request of another node; it goes to no further one.
+
+    Args:
+      request: The request.
+      max_attempts: Number of upstreams on which it may run, for each shard.
+
+    Returns:
+      The response; a refusal if this node may be cut off as well.
+    """
+    if self.path.is_doubtful(
+      self.upstreams.list_all(), clock.read_monotonic(), MAX_RELAY_SILENCE_S
+    ):
+      return _make_refusal(relay.UNREACHABLE, RETRY_AFTER_S)
+    return await self.handle_request(request, max_attempts)
+
+  async def handle_request(
+    self, request: model.Request, max_relayed_attempts: int | None = None
+  ) -> model.Response:
     """Handles a caller's request.
 
     Args:
       request: The complete request.
+      max_relayed_attempts: Number of upstreams on which a request of another
+        node may run, for each shard; None for a request of a caller.
 
     Returns:
       The response. A refusal with status 503 guarantees that the request did
@@ -284,6 +327,10 @@
     if route is None:
       refusal = model.Response(404, outcome="no_route")
       return self._record_refusal(request, refusal)
+    may_relay = max_relayed_attempts is None
+    if max_relayed_attempts is not None:
+      max_attempts = min(route.max_attempts, max_relayed_attempts)
+      route = attrs.evolve(route, max_attempts=max_attempts)
     timeout_s = min(route.timeout_s, request.timeout_s or route.timeout_s)
     demand = stopping.Demand(
       route.latency_objective_s, timeout_s, route.is_idempotent
@@ -302,26 +349,33 @@
       caution = containment.choose_caution(
         verdict, is_alert=self.suspects.is_alert(now)
       )
-      return await self._serve(request, route, timeout_s, caution, now)
+      return await self._serve_or_relay(
+        request, route, timeout_s, caution, may_relay, now
+      )
     finally:
       if verdict is quarantine.Verdict.PROBE:
         self.suspects.end_probe(request.fingerprint)
 
-  async def _serve(
+  async def _serve_or_relay(
     self,
     request: model.Request,
     route: model.Route,
     timeout_s: Seconds,
     caution: containment.Caution,
+    may_relay: bool,
     now: Seconds,
   ) -> model.Response:
-    """Serves a request by its route.
+    """Serves a request, or has it served while this node reaches no upstream.
+
+    A request that was in progress when the path was lost is relayed if it may
+    run again or certainly did not run.
 
     Args:
       request: The request.
       route: Its route.
       timeout_s: Time limit from the request's arrival, in seconds.
       caution: How it is sent until an upstream has responded.
+      may_relay: True if another node may serve it.
       now: Monotonic time.
 
     Returns:
@@ -330,14 +384,65 @@
     deadline = stopping.limit_deadline(
       request.received_at + timeout_s, self.answer_by
     )
-    services = route.shards or (self._traffic_split.choose(route),)
+
+    def must_hand_over() -> bool:
+      return may_relay and self._can_relay(clock.read_monotonic())
+
+    own_response = None
+    attempts_left = route.max_attempts
+    if not must_hand_over():
+      fan_out = self._make_fan_out(request, route, deadline, caution)
+      if route.is_idempotent:
+        fan_out.must_hand_over = must_hand_over
+      own_response = await self._serve(request, route, fan_out, now)
+      has_failed = own_response.outcome in _UNSERVED_OUTCOMES | _LOST_OUTCOMES
+      if not has_failed or not must_hand_over():
+        return own_response
+      attempts_left -= fan_out.max_run_count
+      if attempts_left < 1 or not (
+        route.is_idempotent or own_response.status == 503
+      ):
+        return own_response
+    relayed = await self.relay.send(request, attempts_left, deadline)
+    if relayed is None:
+      return own_response or _make_refusal(relay.UNREACHABLE, RETRY_AFTER_S)
+    elapsed_s = clock.read_monotonic() - request.received_at
+    self.metrics.record_request("gateway", route.name, "relayed", elapsed_s)
+    return relayed
+
+  def _can_relay(self, now: Seconds) -> bool:
+    """True if this node reaches no upstream, and another node does."""
+    return (
+      self.path.is_lost
+      and self.relay is not None
+      and bool(self.relay.list_targets(now))
+    )
+
+  def _make_fan_out(
+    self,
+    request: model.Request,
+    route: model.Route,
+    deadline: Seconds,
+    caution: containment.Caution,
+  ) -> fanout.FanOut:
+    """Prepares the fan-out of a request by its route."""
     if route.name not in self._latency_quantiles:
       self._latency_quantiles[route.name] = budgets.LatencyQuantile(
         hedging.EARLIEST_QUANTILE
       )
-    fan_out = fanout.FanOut(
+    services = route.shards or (self._traffic_split.choose(route),)
+    return fanout.FanOut(
       self._dependencies, request, route, services, deadline, caution=caution
     )
+
+  async def _serve(
+    self,
+    request: model.Request,
+    route: model.Route,
+    fan_out: fanout.FanOut,
+    now: Seconds,
+  ) -> model.Response:
+    """Runs the fan-out of a request, and builds and records its response."""
     await fan_out.run(now)
     response = (
       _make_search_response(fan_out, route)
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -43,6 +43,7 @@
 DIRECTORY_CACHE_WAIT_S = 2.5
 STOP_MARGIN_S = 0.5  # time for the process to exit
 ANSWER_MARGIN_S = 0.2  # time to send the last responses
+RELAYED_RECHECK_DELAY_S = 0.02
 MIN_DRAIN_S = 1.0  # time for requests in progress, whatever the stop limit
 SETTINGS_POLL_PERIOD_S = 3.0
 FLEET_NAME = "gateway"
@@ -163,6 +164,7 @@
     self._tasks.start_soon(supervision.supervise, self._poll_settings)
     self._tasks.start_soon(supervision.supervise, self._reach_checker.run)
     await self._server.serve(sockets=sockets)
+    await self._finish_relayed()
     events.NODE_STOPPED.log(_logger, node=self._settings.node)
 
   async def _handle_message(self, sender: str, message: Any) -> None:
@@ -180,6 +182,18 @@
           break
     await self._leave()
 
+  async def _finish_relayed(self) -> None:
+    """Waits for requests of other nodes, which come over no caller connection.
+
+    Their responses are due before the limit of a graceful stop.
+    """
+    while (
+      self._fleet.relay.in_progress
+      and clock.read_monotonic() < self._gateway.answer_by
+    ):
+      await anyio.sleep(RELAYED_RECHECK_DELAY_S)
+    await anyio.sleep(RELAYED_RECHECK_DELAY_S)  # for the last response
+
   async def _poll_settings(self) -> None:
     """Polls the settings file for changes made without a signal."""
     while True:
--- a/packages/gateway/src/bronzefold/gateway/reach.py
+++ b/packages/gateway/src/bronzefold/gateway/reach.py
@@ -41,21 +41,31 @@
   """What this node knows of its path to the upstreams.
 
   Attributes:
-    is_lost: True while no upstream can be reached.
+    lost_at: Monotonic time at which probes found it lost; None if the last ones
+      did not.
     responded_at: Monotonic time of the last response of any upstream.
   """
 
-  is_lost: bool = False
+  lost_at: Seconds | None = None
   responded_at: Seconds = -math.inf
 
+  @property
+  def is_lost(self) -> bool:
+    """True while no upstream can be reached."""
+    return self.lost_at is not None and self.responded_at < self.lost_at
+
   def is_doubtful(
-    self, upstreams: Collection[inventory.Upstream], now: Seconds
+    self,
+    upstreams: Collection[inventory.Upstream],
+    now: Seconds,
+    silence_s: Seconds = SILENCE_S,
   ) -> bool:
     """Decides whether the path to the upstreams must be checked.
 
     Args:
       upstreams: All upstreams.
       now: Monotonic time.
+      silence_s: Time without a response that is needed for doubt, in seconds.
 
     Returns:
       True if it is lost, or if several upstreams and no other one have been
@@ -63,10 +73,10 @@
     """
     if self.is_lost:
       return True
-    if now - self.responded_at < SILENCE_S:
+    if now - self.responded_at < silence_s:
       return False
     silent_count = sum(
-      upstream.health.is_silent(SILENCE_S, now) for upstream in upstreams
+      upstream.health.is_silent(silence_s, now) for upstream in upstreams
     )
     return 0 < min(len(upstreams), MIN_SILENT_UPSTREAMS) <= silent_count
 
@@ -74,19 +84,17 @@
     """Records that an upstream has responded."""
     self.responded_at = now
 
-  def record_check(self, is_reached: bool, started_at: Seconds) -> bool:
+  def record_check(self, is_reached: bool, started_at: Seconds) -> None:
     """Records the result of a check.
 
     Args:
       is_reached: True if any of the probed upstreams was reached.
       started_at: Monotonic time of its start; a later response outweighs it.
-
-    Returns:
-      True if that changed ``is_lost``.
     """
-    was_lost = self.is_lost
-    self.is_lost = not is_reached and self.responded_at < started_at
-    return self.is_lost != was_lost
+    if is_reached:
+      self.lost_at = None
+    elif self.lost_at is None or not self.is_lost:
+      self.lost_at = started_at
 
 
 class ReachChecker:
@@ -109,6 +117,7 @@
     self._path = path
     self._upstreams = upstreams
     self._on_change = on_change
+    self._was_lost = False
 
   async def run(self) -> None:
     """Checks the path until cancelled."""
@@ -117,6 +126,9 @@
       upstreams = self._upstreams.list_all()
       if self._path.is_doubtful(upstreams, now):
         await self._check(upstreams, now)
+      if self._path.is_lost != self._was_lost:
+        self._was_lost = self._path.is_lost
+        self._process_change(upstreams, clock.read_monotonic())
       await anyio.sleep(CHECK_PERIOD_S)
 
   async def _check(
@@ -126,22 +138,26 @@
     is_reached = await _any_true(
       [lambda upstream=upstream: _probe(upstream) for upstream in probed]
     )
-    if not self._path.record_check(is_reached, now):
-      return
+    self._path.record_check(is_reached, now)
+
+  def _process_change(
+    self, upstreams: list[inventory.Upstream], now: Seconds
+  ) -> None:
+    """Logs and announces that the path was lost, or is back."""
     event = (
       events.UPSTREAMS_UNREACHABLE
-      if self._path.is_lost
+      if self._was_lost
       else events.UPSTREAMS_REACHED
     )
     event.log(
       _logger,
-      probed=[upstream.instance.id for upstream in probed],
+      upstreams=len(upstreams),
       silent_s=round(min(now - self._path.responded_at, 1e6), 3),
     )
-    if not self._path.is_lost:
+    if not self._was_lost:
       for upstream in upstreams:
         upstream.health.forget_failures()
-    self._on_change(self._path.is_lost, clock.read_monotonic())
+    self._on_change(self._was_lost, now)
 
 
 async def _probe(upstream: inventory.Upstream) -> bool:
--- a/packages/peers/src/bronzefold/peers/links.py
+++ b/packages/peers/src/bronzefold/peers/links.py
@@ -35,8 +35,6 @@
 # arrive on another connection than the news of that.
 _LAST_REPLIES_WAIT_S = 0.3
 
-_REQUEST_TYPES = (messages.Call, messages.CallReply, messages.Cancel)
-
 _logger = logging.getLogger(__name__)
 
 MessageHandler = Callable[[str, Any], Awaitable[None]]
@@ -192,10 +190,16 @@
     self.control_bytes_sent += sum(
       len(body)
       for message, body in zip(contents, bodies, strict=True)
-      if not isinstance(message, _REQUEST_TYPES)
+      if not _belongs_to_request(message)
     )
 
 
+def _belongs_to_request(message: Any) -> bool:
+  """True for a message that is not one of the control traffic."""
+  request_types = messages.CALL_TYPES | messages.REPLY_TYPES
+  return type(message) in request_types or isinstance(message, messages.Cancel)
+
+
 class PeerNetwork:
   """All links of this node, and its calls that are waiting for replies.
 
@@ -339,15 +343,15 @@
     return True
 
   async def call(
-    self, node: str, call: messages.Call
-  ) -> Result[messages.CallReply, exceptions.BronzefoldError]:
+    self, node: str, call: Any
+  ) -> Result[Any, exceptions.BronzefoldError]:
     """Sends a call and waits for its reply, at most for its time budget.
 
     If the waiting task is cancelled, the call is cancelled at the owner.
 
     Args:
       node: Name of the owner.
-      call: The call.
+      call: The call, of a type in ``messages.CALL_TYPES``.
 
     Returns:
       The reply, or an error. It is a ``NotRunError`` only when the call never
@@ -369,7 +373,7 @@
         self.send(node, messages.Cancel(call.request))
 
   def _fail_undelivered_call(self, message: Any) -> None:
-    if isinstance(message, messages.Call):
+    if type(message) in messages.CALL_TYPES:
       pending_call = self._pending_calls.get(message.request)
       if pending_call is not None:
         detail = f"node {pending_call.node} is not connected"
@@ -383,12 +387,12 @@
       events.FRAME_REFUSED.log(_logger, reason=error.detail)
       return
     for message in frame.contents:
-      if isinstance(message, messages.CallReply):
+      if type(message) in messages.REPLY_TYPES:
         self._deliver_reply(frame.sender, message)
       else:
         self._tasks.start_soon(self._handler, frame.sender, message)
 
-  def _deliver_reply(self, sender: str, reply: messages.CallReply) -> None:
+  def _deliver_reply(self, sender: str, reply: Any) -> None:
     pending_call = self._pending_calls.get(reply.request)
     # A reply after the end of its call or from another node is dropped.
     if pending_call is None or pending_call.node != sender:
@@ -412,11 +416,9 @@
 
   node: str
   done: anyio.Event = attrs.field(factory=anyio.Event)
-  outcome: Result[messages.CallReply, exceptions.BronzefoldError] | None = None
+  outcome: Result[Any, exceptions.BronzefoldError] | None = None
 
-  def finish(
-    self, outcome: Result[messages.CallReply, exceptions.BronzefoldError]
-  ) -> None:
+  def finish(self, outcome: Result[Any, exceptions.BronzefoldError]) -> None:
     """Sets the outcome, unless there is one already."""
     if self.outcome is None:
       self.outcome = outcome
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -40,6 +40,37 @@
   return decorate
 
 
+CALL_TYPES: set[type] = set()
+REPLY_TYPES: set[type] = set()
+
+
+def register_call(name: str) -> Callable[[_T], _T]:
+  """Registers a message to which another one replies.
+
+  It has the attributes ``request``, the id of the call, and ``budget_s``.
+  """
+
+  def decorate(message_type: _T) -> _T:
+    CALL_TYPES.add(message_type)
+    return register_message(name)(message_type)
+
+  return decorate
+
+
+def register_reply(name: str) -> Callable[[_T], _T]:
+  """Registers a message that replies to a call.
+
+  It has the attributes ``request``, the id of the call, ``error``, the code of
+  an error or an empty string, and ``detail``.
+  """
+
+  def decorate(message_type: _T) -> _T:
+    REPLY_TYPES.add(message_type)
+    return register_message(name)(message_type)
+
+  return decorate
+
+
 def encode_message(message: Any) -> tuple[bytes, bytes]:
   """Encodes a message as the name of its type and its body."""
   return _NAMES_BY_TYPE[type(message)], _encoder.encode(message)
@@ -177,7 +208,7 @@
   manifest: ranges.Manifest
 
 
-@register_message("call")
+@register_call("call")
 @attrs.frozen
 class Call:
   """Request to an owner to send a request to its upstream.
@@ -201,7 +232,7 @@
   key: str = ""
 
 
-@register_message("reply")
+@register_reply("reply")
 @attrs.frozen
 class CallReply:
   """Outcome of a call.
