Refuse odd entries of other writers one by one

An entry that was nested 100,000 deep ended the task that follows the store (RecursionError instead of an error of the decoder); each restart read it again. Entries with a port out of range, no address or a number beyond all measure were taken for upstreams: with several of them, all attempts of a request went to them and callers of the service got 503.

--- a/packages/callers/src/bronzefold/callers/application.py
+++ b/packages/callers/src/bronzefold/callers/application.py
@@ -275,7 +275,7 @@
       msgspec.json.decode(body)
       return msgspec.Raw(body)
     return msgspec.json.decode(body, type=body_type)
-  except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+  except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
     raise exceptions.BadRequestError(f"invalid body: {error}") from error
 
 
--- a/packages/core/src/bronzefold/core/conversion.py
+++ b/packages/core/src/bronzefold/core/conversion.py
@@ -58,7 +58,7 @@
   """
   try:
     data = json5.loads(text)
-  except ValueError as error:
+  except (ValueError, RecursionError) as error:
     raise StructureError(f"not JSON with comments: {error}") from error
   try:
     return _make_converter().structure(data, kind)
--- a/packages/gateway/src/bronzefold/gateway/replica.py
+++ b/packages/gateway/src/bronzefold/gateway/replica.py
@@ -283,7 +283,7 @@
       return
     try:
       member = msgspec.json.decode(entry.value, type=membership.Member)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
       events.ENTRY_REFUSED.log(_logger, key=entry.key, reason=str(error))
       return
     self._members.register(member)
--- a/packages/node/src/bronzefold/node/burn.py
+++ b/packages/node/src/bronzefold/node/burn.py
@@ -76,6 +76,6 @@
 def _decode(value: str) -> burn.History:
   try:
     return msgspec.json.decode(value, type=burn.History)
-  except msgspec.MsgspecError:
+  except (msgspec.MsgspecError, RecursionError):
     # An unreadable history is replaced by an empty one.
     return burn.History()
--- a/packages/node/src/bronzefold/node/configuration.py
+++ b/packages/node/src/bronzefold/node/configuration.py
@@ -242,7 +242,11 @@
       if entry.key.startswith(prefix):
         try:
           interpret(self, entry.key.removeprefix(prefix), entry)
-        except (msgspec.MsgspecError, _InvalidValueError) as error:
+        except (
+          msgspec.MsgspecError,
+          _InvalidValueError,
+          RecursionError,
+        ) as error:
           return str(error)
     return None
 
--- a/packages/node/src/bronzefold/node/node.py
+++ b/packages/node/src/bronzefold/node/node.py
@@ -540,7 +540,7 @@
 def _decode_merge_options(query: msgspec.Raw) -> merges.MergeOptions:
   try:
     options = msgspec.json.decode(query, type=merges.MergeOptions)
-  except msgspec.MsgspecError as error:
+  except (msgspec.MsgspecError, RecursionError) as error:
     raise exceptions.BadRequestError(f"query: {error}") from error
   if not 1 <= options.limit <= merges.MAX_ROW_LIMIT:
     raise exceptions.BadRequestError(
--- a/packages/node/src/bronzefold/node/replies.py
+++ b/packages/node/src/bronzefold/node/replies.py
@@ -64,7 +64,7 @@
       result.shard: merges.decode_part(expected.merge, result.result)
       for result in reply.results
     }
-  except msgspec.MsgspecError as error:
+  except (msgspec.MsgspecError, RecursionError) as error:
     return Error(exceptions.MalformedReplyError(str(error)))
   if reply.request != expected.exchange_id:
     return Error(
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -94,7 +94,7 @@
     raise exceptions.PeerFrameError(f"unknown message type {name!r}")
   try:
     return decoder.decode(body)
-  except msgspec.MsgspecError as error:
+  except (msgspec.MsgspecError, RecursionError) as error:
     raise exceptions.PeerFrameError(
       f"malformed message of type {name!r}: {error}"
     ) from error
--- a/packages/store/src/bronzefold/store/dialect.py
+++ b/packages/store/src/bronzefold/store/dialect.py
@@ -210,7 +210,7 @@
   """
   try:
     return msgspec.json.decode(body, type=body_type)
-  except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+  except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
     raise exceptions.StoreUnavailableError(
       f"malformed response: {error}"
     ) from error
--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -280,7 +280,7 @@
   try:
     async with asyncio.timeout(timeout_s):
       _, channel = await loop.create_connection(Channel, host, int(port))
-  except (OSError, TimeoutError, ValueError) as error:
+  except (OSError, TimeoutError, ValueError, OverflowError) as error:
     is_refused = isinstance(error, ConnectionRefusedError)
     error_type = (
       exceptions.ConnectRefusedError
--- a/packages/upstreams/src/bronzefold/upstreams/executor.py
+++ b/packages/upstreams/src/bronzefold/upstreams/executor.py
@@ -544,7 +544,7 @@
   def _apply_status(self, body: bytes) -> None:
     try:
       status = msgspec.json.decode(body, type=messages.StatusReport)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
       self._consecutive_failures += 1
       return
     now = clock.read_monotonic()
@@ -576,7 +576,7 @@
         continue
       try:
         manifest = msgspec.json.decode(outcome.ok.body, type=ranges.Manifest)
-      except msgspec.MsgspecError:
+      except (msgspec.MsgspecError, RecursionError):
         continue
       if ranges.check_manifest(manifest).is_ok():
         self._snapshots_with_manifest.add(snapshot)
