Check the path to upstreams no more than once a second, and search few shards as lookups

Failures count after the last response only, a path that was found is trusted for 1 s, and a search of two shards or fewer is contained like a plain request. An unexpected error in an attempt no longer ends the process.

Tests: test_failures_before_the_last_response_are_not, test_path_that_was_checked_is_not_checked_again_at_once.

--- a/packages/core/src/bronzefold/core/containment.py
+++ b/packages/core/src/bronzefold/core/containment.py
@@ -13,8 +13,8 @@
 
 from bronzefold.core import quarantine
 
-# Upstreams that may crash under a request before the others are spared. The
-# other shards of a search show soon whether it is to blame.
+# Upstreams that may crash under a request before the others are spared. If it
+# has more shards, the others show soon whether it is to blame.
 MAX_CRASHES = 2
 MAX_SEARCH_CRASHES = 1
 # Upstreams that get a request at first while others have just crashed. One of
@@ -43,7 +43,7 @@
 
   Attributes:
     caution: How it is sent until an upstream has responded.
-    is_search: True if it has many shards.
+    shard_count: Number of its shards.
     has_survivor: True once an upstream has responded to it.
     crash_count: Number of upstreams that crashed under it.
     started_count: Number of its attempts.
@@ -51,7 +51,7 @@
   """
 
   caution: Caution
-  is_search: bool
+  shard_count: int
   has_survivor: bool = False
   crash_count: int = 0
   started_count: int = 0
@@ -63,7 +63,8 @@
     if self.has_survivor:
       return False
     was_probed = self.caution is Caution.PROBE and self.started_count > 0
-    max_crashes = MAX_SEARCH_CRASHES if self.is_search else MAX_CRASHES
+    has_others = self.shard_count > MAX_CRASHES
+    max_crashes = MAX_SEARCH_CRASHES if has_others else MAX_CRASHES
     return was_probed or self.crash_count >= max_crashes
 
   @property
@@ -86,7 +87,7 @@
     If no shard of a search has responded, all are late, and so would be their
     other replicas.
     """
-    return self.has_survivor or not self.is_search
+    return self.has_survivor or self.shard_count <= MAX_CRASHES
 
   def record_start(self) -> None:
     """Counts an attempt that was started."""
--- a/packages/core/src/bronzefold/core/supervision.py
+++ b/packages/core/src/bronzefold/core/supervision.py
@@ -35,7 +35,8 @@
   except AssertionError:
     raise
   except Exception as error:
-    name = getattr(work, "__qualname__", repr(work))
+    function = getattr(work, "func", work)  # of a partial function
+    name = getattr(function, "__qualname__", repr(function))
     events.TASK_FAILED.log(_logger, task=name, reason=repr(error))
     _logger.debug("background task failed", exc_info=error)
     return False
--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -178,7 +178,7 @@
     self._ended_attempts: list[tuple[ShardRequest, sending.Attempt]] = []
     self._wake = anyio.Event()
     self._can_skip_waiting = False
-    self._containment = containment.Containment(caution, bool(route.shards))
+    self._containment = containment.Containment(caution, len(self.shards))
     # Tolerates rounding errors of ``min_coverage``.
     self._min_parts = math.ceil(route.min_coverage * len(self.shards) - 1e-9)
     self._respond_at = timing.compute_response_time(request, route)
--- a/packages/gateway/src/bronzefold/gateway/health.py
+++ b/packages/gateway/src/bronzefold/gateway/health.py
@@ -31,6 +31,7 @@
     refused_at: Monotonic time of the last refusal.
     failures: Failures since the last served response; one that shows the
       upstream to be unreachable counts as ``_FAILURES_UNTIL_DOWN``.
+    failed_at: Monotonic time of the last failure.
     down_until: Monotonic time until which the upstream gets no requests.
     in_flight: Start times of the requests without a response, by attempt
       number, oldest first.
@@ -42,6 +43,7 @@
   refusal_rate: float = 0.0
   refused_at: Seconds = 0.0
   failures: int = 0
+  failed_at: Seconds = 0.0
   down_until: Seconds = 0.0
   in_flight: dict[int, Seconds] = attrs.field(factory=dict)
 
@@ -78,6 +80,7 @@
         is then down at once.
     """
     self.failures += _FAILURES_UNTIL_DOWN if is_unreachable else 1
+    self.failed_at = now
     excess = self.failures - _FAILURES_UNTIL_DOWN
     if excess >= 0:
       backoff_s = min(_MAX_BACKOFF_S, _FIRST_BACKOFF_S * 2.0 ** min(excess, 8))
@@ -96,14 +99,15 @@
       now - max(oldest_started_at, self.last_success_at) > self.stall_after_s
     )
 
-  def is_silent(self, after_s: Seconds, now: Seconds) -> bool:
+  def is_silent(self, since: Seconds, after_s: Seconds, now: Seconds) -> bool:
     """True if the upstream has failed, or a request got no response for long.
 
     Args:
+      since: Monotonic time after which a failure counts.
       after_s: Time after which a request counts, in seconds.
       now: Monotonic time.
     """
-    if self.failures:
+    if self.failures and self.failed_at > since:
       return True
     return any(
       now - started_at >= after_s for started_at in self.in_flight.values()
--- a/packages/gateway/src/bronzefold/gateway/reach.py
+++ b/packages/gateway/src/bronzefold/gateway/reach.py
@@ -30,6 +30,8 @@
 PROBE_COUNT = 3
 PROBE_TIMEOUT_S = 0.15  # 25 times a TCP handshake of 6 ms
 CHECK_PERIOD_S = 0.1
+# Least time between checks of a path that is there, as each opens connections.
+TRUST_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -44,10 +46,12 @@
     lost_at: Monotonic time at which probes found it lost; None if the last ones
       did not.
     responded_at: Monotonic time of the last response of any upstream.
+    trusted_until: Monotonic time until which no check is needed.
   """
 
   lost_at: Seconds | None = None
   responded_at: Seconds = -math.inf
+  trusted_until: Seconds = -math.inf
 
   @property
   def is_lost(self) -> bool:
@@ -73,10 +77,11 @@
     """
     if self.is_lost:
       return True
-    if now - self.responded_at < silence_s:
+    if now - self.responded_at < silence_s or now < self.trusted_until:
       return False
     silent_count = sum(
-      upstream.health.is_silent(silence_s, now) for upstream in upstreams
+      upstream.health.is_silent(self.responded_at, silence_s, now)
+      for upstream in upstreams
     )
     return 0 < min(len(upstreams), MIN_SILENT_UPSTREAMS) <= silent_count
 
@@ -93,6 +98,7 @@
     """
     if is_reached:
       self.lost_at = None
+      self.trusted_until = started_at + TRUST_S
     elif self.lost_at is None or not self.is_lost:
       self.lost_at = started_at
 
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
+import functools
 import itertools
 import logging
 import math
+from typing import Any
 from typing import Protocol
 
 from anyio import abc
@@ -17,6 +20,7 @@
 from bronzefold.core import defaults
 from bronzefold.core import events
 from bronzefold.core import exceptions
+from bronzefold.core import supervision
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import inventory
 from bronzefold.gateway import model
@@ -195,11 +199,17 @@
       self._send(attempt, idle_connection, request, time_left_s, on_end)
     else:
       upstream.pool.reserve()
-      self._tasks.start_soon(
+      self._start(
         self._open_and_send, attempt, request, now + time_left_s, on_end
       )
     return attempt
 
+  def _start(self, work: Callable[..., Awaitable[None]], *values: Any) -> None:
+    """Starts a task whose unexpected error does not end the process."""
+    self._tasks.start_soon(
+      supervision.run_guarded, functools.partial(work, *values)
+    )
+
   def abandon(self, attempt: Attempt) -> None:
     """Abandons an attempt whose response is no longer needed.
 
@@ -277,7 +287,7 @@
       pool.release(connection)
       if may_have_crashed and pool.has_capacity:
         pool.reserve()
-        self._tasks.start_soon(
+        self._start(
           self._check_lost_connection, attempt, request, error, on_end
         )
         return
--- a/packages/node/src/bronzefold/node/search.py
+++ b/packages/node/src/bronzefold/node/search.py
@@ -222,7 +222,7 @@
     self, request: SearchRequest, caution: containment.Caution
   ) -> Result[SearchAnswer, exceptions.BronzefoldError]:
     """Searches snapshots, the newest first, until one of them is served."""
-    contained = containment.Containment(caution, is_search=True)
+    contained = containment.Containment(caution, shard_count=0)
     best: _SnapshotSearch | None = None
     newer_than = -1
     for _ in range(_MAX_SNAPSHOTS):
@@ -288,6 +288,7 @@
     pinned: selection.PinnedSnapshot,
     contained: containment.Containment,
   ) -> None:
+    contained.shard_count = len(pinned.manifest.shards)
     self._containment = contained
     self._has_progress = anyio.Event()
     self._searcher = searcher
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -10,10 +10,10 @@
 Caution = containment.Caution
 
 
-def start(caution=Caution.NONE, is_search=True, count=20):
-  """Starts as many attempts as are allowed, ``count`` at most."""
-  contained = containment.Containment(caution, is_search)
-  for _ in range(count):
+def start(caution=Caution.NONE, shards=20):
+  """Starts as many attempts as are allowed, one a shard at most."""
+  contained = containment.Containment(caution, shards)
+  for _ in range(shards):
     if contained.may_send():
       contained.record_start()
   return contained
@@ -46,7 +46,7 @@
     self.assertTrue(contained.must_give_up)
 
   def test_plain_request_is_retried_once_after_a_crash(self):
-    contained = start(is_search=False, count=1)
+    contained = start(shards=1)
     self.assertTrue(contained.may_hedge())
     contained.record_end(**CRASHED)
     self.assertTrue(contained.may_send())
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -15,12 +15,14 @@
 CONTACT_S = 4.0  # time in which the users' pages allow a cut to be noticed
 
 
-def make_upstreams(count, *, started_at=None, failures=0):
+def make_upstreams(count, *, started_at=None, failures=0, failed_at=10.5):
   """Makes upstreams with an attempt in progress or with failures."""
   in_flight = {} if started_at is None else {1: started_at}
   return [
     types.SimpleNamespace(
-      health=health.Health(failures=failures, in_flight=in_flight)
+      health=health.Health(
+        failures=failures, failed_at=failed_at, in_flight=in_flight
+      )
     )
     for _ in range(count)
   ]
@@ -42,6 +44,17 @@
     self.assertFalse(self.path.is_doubtful(make_upstreams(5), 100.0))
     self.assertFalse(self.path.is_doubtful([], 100.0))
 
+  def test_failures_before_the_last_response_are_not(self):
+    failed = make_upstreams(5, failures=4, failed_at=9.0)
+    self.assertFalse(self.path.is_doubtful(failed, 100.0))
+
+  def test_path_that_was_checked_is_not_checked_again_at_once(self):
+    failed = make_upstreams(5, failures=4)
+    self.assertTrue(self.path.is_doubtful(failed, 11.0))
+    self.path.record_check(True, started_at=11.0)
+    self.assertFalse(self.path.is_doubtful(failed, 11.9))
+    self.assertTrue(self.path.is_doubtful(failed, 11.0 + reach.TRUST_S))
+
   def test_two_silent_upstreams_are_not_unless_there_are_no_others(self):
     two = make_upstreams(2, failures=1)
     self.assertFalse(self.path.is_doubtful(two + make_upstreams(3), 11.0))
