Let other nodes own the upstreams of a node that reaches none

Owners are now chosen among the nodes that reach upstreams. A node all of whose upstreams fail asks three, whoever owns them, for their status; if none answers it says so in its heartbeats, releases its claims after 1 s as any misplaced owner does, and goes on asking.

--- a/packages/node/src/bronzefold/node/node.py
+++ b/packages/node/src/bronzefold/node/node.py
@@ -38,6 +38,7 @@
 from bronzefold.node import leadership
 from bronzefold.node import merges
 from bronzefold.node import ownership
+from bronzefold.node import reach
 from bronzefold.node import routing
 from bronzefold.node import search
 from bronzefold.node import selection
@@ -173,6 +174,9 @@
       self._burn_recorder,
       self._searcher.suspects,
     )
+    self._reach_monitor = reach.ReachMonitor(
+      self.config, self._ownership, self.members, self._gossip.send_heartbeats
+    )
     self._leadership = leadership.Leadership(
       node_settings,
       self._store_client,
@@ -228,6 +232,7 @@
       self._gossip.run,
       self._leadership.run,
       self._run_ownership,
+      self._reach_monitor.run,
       self._run_claim_retries,
     ):
       tasks.start_soon(supervision.supervise, work)
--- a/packages/node/src/bronzefold/node/ownership.py
+++ b/packages/node/src/bronzefold/node/ownership.py
@@ -192,7 +192,7 @@
   ) -> str | None:
     if self._settings.direct:
       return self._settings.node
-    return choose_owner(entry, self._members.list_serving(now))
+    return choose_owner(entry, self._members.list_useful(now))
 
   def _reconcile_owned(
     self,
--- a/packages/upstreams/src/bronzefold/upstreams/executor.py
+++ b/packages/upstreams/src/bronzefold/upstreams/executor.py
@@ -118,6 +118,11 @@
     self.most_in_progress = 0
     self.sent = 0
 
+  @property
+  def is_failing(self) -> bool:
+    """True since the upstream's last exchange failed."""
+    return self._consecutive_failures > 0
+
   @property
   def ramp(self) -> ramp.ColdStartRamp:
     """The limit on requests in progress."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -165,6 +165,7 @@
     settings: dict | None = None,
     seed: int = 7,
     upstream_processes: int = 1,
+    node_module: str = "",
   ) -> None:
     self.directory = tempfile.TemporaryDirectory(prefix="bronzefold-")
     self.path = pathlib.Path(self.directory.name)
@@ -186,6 +187,7 @@
       for i in range(nodes)
     }
     self.processes: dict[str, Process] = {}
+    self._node_module = node_module
 
   def make_settings(
     self,
@@ -266,9 +268,22 @@
     path = self.path / f"{name}.json"
     path.write_text(json.dumps(self.settings[name]))
     binary = pathlib.Path(sys.executable).parent / "bronzefold"
-    command = [str(binary), f"--settings={path}"]
+    program = (
+      [sys.executable, "-m", self._node_module]
+      if self._node_module
+      else [str(binary)]
+    )
+    command = [*program, f"--settings={path}"]
     self.processes[name] = Process(name, command, self.path / f"{name}.log")
 
+  def set_cut(self, name: str, is_cut: bool) -> None:
+    """Cuts all paths of a node of ``tests.cut_owner``, or restores them."""
+    path = self.path / f"{name}.json.cut"
+    if is_cut:
+      path.touch()
+    else:
+      path.unlink()
+
   def stop(self) -> None:
     """Kills all processes and removes their files."""
     for process in self.processes.values():
