--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -88,7 +88,11 @@
     """Lists the nodes that may serve a request."""
 
   async def send(
-    self, request: model.Request, max_attempts: int, deadline: Seconds
+    self,
+    request: model.Request,
+    max_attempts: int,
+    version: int,
+    deadline: Seconds,
   ) -> model.Response | None:
     """Has a request served by another node; None if no node ran it."""
 
@@ -284,22 +288,27 @@
     return bool(selection.list_usable(candidates, (), now))
 
   async def serve_relayed(
-    self, request: model.Request, max_attempts: int
+    self, message: relay.RelayedRequest
   ) -> model.Response:
     """Handles a request of another node; it goes to no further one.
 
     Args:
-      request: The request.
-      max_attempts: Number of upstreams on which it may run, for each shard.
+      message: The request, with the times of this node.
 
     Returns:
-      The response; a refusal if this node may be cut off as well.
+      The response; a refusal if this node may be cut off as well, or if its
+      configuration is older than that of the other node.
     """
-    if self.path.is_doubtful(
-      self.upstreams.list_all(), clock.read_monotonic(), MAX_RELAY_SILENCE_S
+    now = clock.read_monotonic()
+    self.apply_pending_configuration(now)
+    is_older = (
+      self.configuration is None or self.configuration.version < message.version
+    )
+    if is_older or self.path.is_doubtful(
+      self.upstreams.list_all(), now, MAX_RELAY_SILENCE_S
     ):
       return _make_refusal(relay.UNREACHABLE, RETRY_AFTER_S)
-    return await self.handle_request(request, max_attempts)
+    return await self.handle_request(message.content, message.max_attempts)
 
   async def handle_request(
     self, request: model.Request, max_relayed_attempts: int | None = None
@@ -403,7 +412,9 @@
         route.is_idempotent or own_response.status == 503
       ):
         return own_response
-    relayed = await self.relay.send(request, attempts_left, deadline)
+    relayed = await self.relay.send(
+      request, attempts_left, self.configuration.version, deadline
+    )
     if relayed is None:
       return own_response or _make_refusal(relay.UNREACHABLE, RETRY_AFTER_S)
     elapsed_s = clock.read_monotonic() - request.received_at
--- a/packages/gateway/src/bronzefold/gateway/relay.py
+++ b/packages/gateway/src/bronzefold/gateway/relay.py
@@ -42,12 +42,14 @@
     request: Id of the call.
     budget_s: Time until the response is due, in seconds.
     max_attempts: Number of upstreams on which it may run, for each shard.
+    version: Version of the configuration that is in force on the sender.
     content: The caller's request; its times are those of the sender.
   """
 
   request: str
   budget_s: Seconds
   max_attempts: int
+  version: int
   content: model.Request
 
 
@@ -81,7 +83,7 @@
     members: membership.Membership,
     network: peers.PeerNetwork,
     get_topology: Callable[[], topology.Topology],
-    serve: Callable[[model.Request, int], Awaitable[model.Response]],
+    serve: Callable[[RelayedRequest], Awaitable[model.Response]],
   ) -> None:
     """Creates a relay.
 
@@ -89,7 +91,7 @@
       members: The nodes of the fleet.
       network: Connections to the other nodes.
       get_topology: Returns the current topology.
-      serve: Serves a request on this node, on as many upstreams as given.
+      serve: Serves a request of another node on this one.
     """
     self._members = members
     self._network = network
@@ -120,7 +122,11 @@
     return [member.node for member in useful]
 
   async def send(
-    self, request: model.Request, max_attempts: int, deadline: Seconds
+    self,
+    request: model.Request,
+    max_attempts: int,
+    version: int,
+    deadline: Seconds,
   ) -> model.Response | None:
     """Has a request served by another node.
 
@@ -130,6 +136,8 @@
     Args:
       request: The caller's request.
       max_attempts: Number of upstreams on which it may run, for each shard.
+      version: Version of the configuration in force; no node serves it by an
+        older one.
       deadline: Monotonic time at which the response is due.
 
     Returns:
@@ -141,7 +149,9 @@
       left_s = deadline - clock.read_monotonic()
       if left_s < MIN_LEFT_S:
         break
-      call = RelayedRequest(uuid.uuid4().hex, left_s, max_attempts, request)
+      call = RelayedRequest(
+        uuid.uuid4().hex, left_s, max_attempts, version, request
+      )
       response = _read_outcome(await self._network.call(node, call))
       events.REQUEST_RELAYED.log(
         _logger,
@@ -157,13 +167,13 @@
     self, sender: str, message: RelayedRequest, now: Seconds
   ) -> None:
     """Serves a request of another node and sends the response to it."""
-    request = attrs.evolve(
+    content = attrs.evolve(
       message.content, received_at=now, timeout_s=message.budget_s
     )
     with anyio.CancelScope() as scope:
       self._scopes[message.request] = scope
       try:
-        response = await self._serve(request, message.max_attempts)
+        response = await self._serve(attrs.evolve(message, content=content))
       finally:
         del self._scopes[message.request]
       self._network.send(sender, RelayedResponse(message.request, response))
