--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -689,7 +689,7 @@
       has_crashed=attempt.has_crashed, has_survived=attempt.has_survived
     )
     self._record_suspicion(attempt, now)
-    if not self._is_to_blame(attempt):
+    if not self._is_request_to_blame(attempt):
       self._dependencies.rollouts.record_attempt(attempt, self._route.name, now)
     self._ended_attempts.append((shard, attempt))
     self._wake.set()
@@ -709,7 +709,7 @@
     elif attempt.has_survived and not suspects.is_empty:
       suspects.record_survival(self._request.fingerprint, now)
 
-  def _is_to_blame(self, attempt: sending.Attempt) -> bool:
+  def _is_request_to_blame(self, attempt: sending.Attempt) -> bool:
     """True if an upstream crashed by the request, not by its version."""
     return attempt.has_crashed and self._dependencies.suspects.is_suspected(
       self._request.fingerprint
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -81,22 +81,6 @@
     """Informs other nodes that an upstream's rate limit has changed."""
 
 
-class RequestRelay(Protocol):
-  """Has requests served by other nodes."""
-
-  def list_targets(self, now: Seconds) -> list[str]:
-    """Lists the nodes that may serve a request."""
-
-  async def send(
-    self,
-    request: model.Request,
-    max_attempts: int,
-    version: int,
-    deadline: Seconds,
-  ) -> model.Response | None:
-    """Has a request served by another node; None if no node ran it."""
-
-
 class _LocalTokenSource:
   """Allocates tokens to a node that has no peers."""
 
@@ -150,7 +134,7 @@
     self.token_source: TokenSource = _LocalTokenSource()
     self.suspects = quarantine.Quarantine(clock.read_monotonic())
     self.path = reach.Reach()
-    self.relay: RequestRelay | None = None
+    self.relay: relay.Relay | None = None
     self.answer_by: Seconds = stopping.RUNNING
     self._settings = node_settings
     self._started_at = clock.read_monotonic()
--- a/packages/node/src/bronzefold/node/search.py
+++ b/packages/node/src/bronzefold/node/search.py
@@ -627,10 +627,10 @@
   ) -> None:
     self._budgets.hedges.earn()
     error = checked.error if checked.is_error() else None
-    is_to_blame = isinstance(error, exceptions.UpstreamCrashedError) and (
-      self._searcher.suspects.is_suspected(self._request.fingerprint)
-    )
-    if is_to_blame:
+    is_request_to_blame = isinstance(
+      error, exceptions.UpstreamCrashedError
+    ) and (self._searcher.suspects.is_suspected(self._request.fingerprint))
+    if is_request_to_blame:
       return
     self._searcher.outliers.record_exchange(
       group.upstream.entry.name, error, now
