--- a/packages/node/src/bronzefold/node/search.py
+++ b/packages/node/src/bronzefold/node/search.py
@@ -627,10 +627,11 @@
   ) -> None:
     self._budgets.hedges.earn()
     error = checked.error if checked.is_error() else None
-    is_request_to_blame = isinstance(
-      error, exceptions.UpstreamCrashedError
-    ) and (self._searcher.suspects.is_suspected(self._request.fingerprint))
-    if is_request_to_blame:
+    has_crashed = isinstance(error, exceptions.UpstreamCrashedError)
+    # The search is to blame then, not the upstream or its version.
+    if has_crashed and self._searcher.suspects.is_suspected(
+      self._request.fingerprint
+    ):
       return
     self._searcher.outliers.record_exchange(
       group.upstream.entry.name, error, now
