Hedge an attempt that lost its connection on a new one

While the node looks whether an upstream has crashed (up to 30 ms), the attempt is pending, and its hedge went to another idle connection, forgotten as well. The loss is now known at once to the choice of the connection.

Test: test_hedge_of_an_attempt_that_lost_its_connection_uses_a_new_one (without the change, by reading: the hedge sees no lost attempt).

--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -77,10 +77,8 @@
 
   @property
   def has_lost(self) -> bool:
-    """True if the connection of an attempt was lost."""
-    return any(
-      attempt.outcome is sending.Outcome.UNKNOWN for attempt in self.attempts
-    )
+    """True if an attempt has failed or lost its connection."""
+    return any(attempt.error is not None for attempt in self.attempts)
 
   @property
   def run_count(self) -> int:
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -93,7 +93,8 @@
     number: Number that is unique in this process.
     outcome: The outcome; pending until the attempt ends.
     response: The upstream's response, if one arrived.
-    error: Why no response arrived.
+    error: Why no response arrived; known before the attempt has ended if its
+      upstream may have crashed.
     was_sent: True once bytes of the request may have left this node.
     is_abandoned: True once the response is no longer needed.
     ended_at: Monotonic time of its end; 0 while it is pending.
@@ -287,6 +288,7 @@
       pool.release(connection)
       if may_have_crashed and pool.has_capacity:
         pool.reserve()
+        attempt.error = error
         self._start(
           self._check_lost_connection, attempt, request, error, on_end
         )
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -707,6 +707,11 @@
     self.store.abort_connections()
     for upstream in self.upstreams.values():
       await self._stop_upstream(upstream)
+    # Connections that were just accepted are known once their tasks have run.
+    for _ in range(_CLOSING_ITERATIONS):
+      await asyncio.sleep(0)
+    for upstream in self.upstreams.values():
+      upstream.stop()
     others = asyncio.all_tasks() - {asyncio.current_task()}
     for task in others:
       task.cancel()
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -7,6 +7,7 @@
 
 from bronzefold.core import clock
 from bronzefold.core import evidence
+from bronzefold.core import quarantine
 from bronzefold.gateway import coordinator
 from bronzefold.gateway import inventory
 from bronzefold.gateway import rollouts
@@ -51,6 +52,8 @@
       rollouts=types.SimpleNamespace(pop_unsent_counts=lambda: [counts]),
       send_count=0,
       token_source=None,
+      suspects=quarantine.Quarantine(),
+      serve_relayed=None,
     )
     replica = types.SimpleNamespace(
       revision=0, effective_revision=0, update_event=anyio.Event()
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -27,11 +27,12 @@
 
   def __init__(self):
     self.pending = []
+    self.may_use_idle = []
 
   def start(
     self, request, upstream, _time_left_s, now, on_end, *, may_use_idle
   ):
-    del may_use_idle
+    self.may_use_idle.append(may_use_idle)
     upstream.pool.reserve()
     attempt = sending.Attempt(upstream, upstream.instance.service, now)
     self.pending.append((request, attempt, on_end))
@@ -229,6 +230,24 @@
         self.sender.crash(service)
     self.assertEqual(self.blamed, ["a"])
 
+  async def test_hedge_of_an_attempt_that_lost_its_connection_uses_a_new_one(
+    self,
+  ):
+    """The upstream is still checked for a crash, so the attempt is pending."""
+    with anyio.fail_after(4.0):
+      async with anyio.create_task_group() as tasks:
+        await self.start_search(tasks)
+        self.sender.serve("c")
+        for _, attempt, _ in self.sender.pending:
+          attempt.error = exceptions.ConnectionLostError("reset")
+        while len(self.sender.pending) < 4:
+          await anyio.sleep(0.05)
+        self.assertEqual(
+          self.sender.may_use_idle, [True, True, True, False, False]
+        )
+        for service in self.SHARDS:
+          self.sender.serve(service)
+
   async def test_probe_goes_to_one_shard_and_on_after_its_response(self):
     with anyio.fail_after(2.0):
       async with anyio.create_task_group() as tasks:
