--- a/packages/node/src/bronzefold/node/gossip.py
+++ b/packages/node/src/bronzefold/node/gossip.py
@@ -23,6 +23,9 @@
 from bronzefold.peers import messages
 from bronzefold.store import keys
 
+# Least time between repeats of what a node knows of suspected searches.
+_REPORT_PERIOD_S = 2.0
+
 _Handler = Callable[["Gossip", str, Any], Awaitable[None]]
 _HANDLERS: dict[type, _Handler] = {}
 
@@ -74,6 +77,7 @@
     self._dispatcher = dispatcher
     self._burn_recorder = burn_recorder
     self._suspects = suspects
+    self._reports_repeated_at: clock.Seconds = 0.0
     suspects.on_change = self._publish_crash_report
     self._nodes_with_other_digest: set[str] = set()
     config.add_listener(self._apply_registration)
@@ -83,6 +87,7 @@
     while True:
       self._connect_members()
       self.send_heartbeats()
+      self._repeat_crash_reports(clock.read_monotonic())
       self._request_initial_sync()
       await anyio.sleep(self._settings.heartbeat_s)
 
@@ -226,6 +231,15 @@
     if is_new and self._members.is_partial_mesh():
       self.publish(suspicion)
 
+  def _repeat_crash_reports(self, now: clock.Seconds) -> None:
+    """Tells nodes that were cut off which searches are suspected."""
+    if now - self._reports_repeated_at < _REPORT_PERIOD_S:
+      return
+    self._reports_repeated_at = now
+    reports = self._suspects.list_reports(now)
+    if reports:
+      self.publish(messages.CrashReports(tuple(reports)))
+
   def _send_crash_reports(self, node: str) -> None:
     """Tells a node that has just started which searches are suspected."""
     reports = self._suspects.list_reports(clock.read_monotonic())
--- a/tests/test_deadly_search.py
+++ b/tests/test_deadly_search.py
@@ -1,5 +1,6 @@
 """Searches that crash upstreams, on the product's own interface."""
 
+import signal
 import time
 import unittest
 
@@ -52,6 +53,18 @@
       self.assertEqual((status, reply["error"]), (503, "quarantined"))
     self.assertEqual(self.count_crashes(), crashes)
 
+  def test_node_that_was_paused_meanwhile_rejects_it(self):
+    process = self.fleet.processes["n2"]
+    process.send_signal(signal.SIGSTOP)
+    self.fleet.search("n0", "groups", DEADLY)
+    time.sleep(1.5)
+    process.send_signal(signal.SIGCONT)
+    time.sleep(1.0)
+    crashes = self.count_crashes()
+    status, reply = self.fleet.search("n2", "groups", DEADLY)
+    self.assertEqual((status, reply["error"]), (503, "quarantined"))
+    self.assertEqual(self.count_crashes(), crashes)
+
   def test_other_searches_are_complete_beside_it(self):
     for node in ("n0", "n1", "n2") * 2:
       self.fleet.search(node, "groups", DEADLY)
