Take the upstreams of a fresh crash report for down

A report that is less than 1 s old now marks its upstreams as unreachable, so such a probe waits, and other requests do not try them.

Test: tests.test_crashreports (test_upstreams_of_a_fresh_report_are_down fails without it).

--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -97,7 +97,7 @@
     )
     gateway.relay = self.relay
     self._crash_reports = crashreports.CrashReportExchange(
-      network, gateway.suspects, lambda: self._topology
+      network, gateway.suspects, gateway.upstreams, lambda: self._topology
     )
 
   async def run(self) -> None:
--- a/packages/gateway/src/bronzefold/gateway/crashreports.py
+++ b/packages/gateway/src/bronzefold/gateway/crashreports.py
@@ -13,11 +13,15 @@
 from bronzefold import peers
 from bronzefold.core import quarantine
 from bronzefold.core.clock import Seconds
+from bronzefold.gateway import inventory
 from bronzefold.gateway import topology
 from bronzefold.peers import messages
 
 # Well below the time that a node may take until it knows of a change.
 REPEAT_PERIOD_S = 2.0
+# Age up to which a report shows that its upstreams are down; they return after
+# some seconds.
+FRESH_S = 1.0
 
 
 class CrashReportExchange:
@@ -27,6 +31,7 @@
     self,
     network: peers.PeerNetwork,
     suspects: quarantine.Quarantine,
+    upstreams: inventory.Inventory,
     get_topology: Callable[[], topology.Topology],
   ) -> None:
     """Creates an exchange that is informed of changes of the quarantine.
@@ -34,10 +39,12 @@
     Args:
       network: Connections to the other nodes.
       suspects: The suspected requests that this node knows of.
+      upstreams: The inventory of upstreams.
       get_topology: Returns the current topology.
     """
     self._network = network
     self._suspects = suspects
+    self._upstreams = upstreams
     self._get_topology = get_topology
     self._repeated_at = 0.0
     suspects.on_change = self._announce
@@ -48,6 +55,20 @@
     """Merges what another node knows."""
     for report in message.reports:
       self._suspects.merge(report, now)
+      if report.age_s < FRESH_S:
+        self._record_failures(report, now)
+
+  def _record_failures(
+    self, report: quarantine.CrashReport, now: Seconds
+  ) -> None:
+    """Records that the upstreams of a report are down.
+
+    Otherwise this node would take one that is left for one of several.
+    """
+    crashed = filter(None, map(self._upstreams.find, report.upstreams))
+    for upstream in crashed:
+      if not upstream.health.failures:
+        upstream.health.record_failure(now, is_unreachable=True)
 
   def repeat(self, now: Seconds) -> None:
     """Tells all neighbours what this node knows, if it is a hub and it is due.
