Stand-in of the platform: let accepted connections run before it closes

Traced by reading: a task that is cancelled before its first step does not close its connection, and from the acceptance of a connection to that step more than three turns of the loop pass.

--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -25,6 +25,8 @@
 RECORD_BYTES = 16
 _STORE_HISTORY_CHANGES = 5000
 _CLOSING_ITERATIONS = 3
+# From the acceptance of a connection until its task runs.
+_ACCEPTING_ITERATIONS = 10
 
 
 @attrs.define
@@ -707,8 +709,8 @@
     self.store.abort_connections()
     for upstream in self.upstreams.values():
       await self._stop_upstream(upstream)
-    # Connections that were just accepted are known once their tasks have run.
-    for _ in range(_CLOSING_ITERATIONS):
+    # A task that is cancelled before it runs does not close its connection.
+    for _ in range(_ACCEPTING_ITERATIONS):
       await asyncio.sleep(0)
     for upstream in self.upstreams.values():
       upstream.stop()
