Store: end a watch soon on a connection that has gone silent

What callers saw: a route whose configuration had been acknowledged was refused with 404, or run as an older version says, more than 3 s later.

Cause: a watch waited up to 5 s for a change, and its time limit was 2 s more. On a connection that goes silent without a reset nothing else ends it, so a node, or all nodes of a small fleet at once, heard nothing of the store for 7 s. Idle connections were kept for 30 s, so the next call could meet another silent one.

Change: a watch waits 1.2 s, its limit is that plus the limit of any call (1 s), and a connection that was idle for 2 s is not used again. Peers do not help here, as all nodes of a small fleet read the store.

--- a/packages/gateway/src/bronzefold/gateway/contact.py
+++ b/packages/gateway/src/bronzefold/gateway/contact.py
@@ -17,8 +17,10 @@
 # Least time between own reads of a node that is to be updated by others: it has
 # just started, or they have lost the store.
 OWN_READ_PERIOD_S = 1.6
-# Longest time that a watch waits for a change.
-WATCH_WAIT_S = 5.0
+# Longest time that a watch waits for a change. A watch on a connection that has
+# gone silent ends only at its time limit, and its changes are due 4 s after that
+# happened.
+WATCH_WAIT_S = 1.2
 # The same for a node that updates others, which must hear often that nothing
 # has changed.
 UPDATER_WATCH_WAIT_S = 0.5
--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -32,7 +32,7 @@
 # Calls a second with which all spokes together look whether the store serves
 # them, while it serves none of their hubs.
 SPOKE_PROBES_PER_S = 10.0
-# A watch of a store in which nothing changes takes 5 s.
+# Covers three watches in a row without a response.
 MAX_REMOVAL_CONTACT_AGE_S = 8.0
 # Nodes without hubs are many, and should not remove the same entries at once.
 MAX_SPOKE_REMOVAL_RANK = 16
--- a/packages/store/src/bronzefold/store/client.py
+++ b/packages/store/src/bronzefold/store/client.py
@@ -16,7 +16,9 @@
 from bronzefold.store import eras
 from bronzefold.store import messages
 
-_WATCH_TIMEOUT_MARGIN_S = 2.0
+# A connection may have gone silent while it was idle, so an idle one is not
+# reused for long.
+_MAX_IDLE_S = 2.0
 _MAX_PAGES = 100
 
 _UNAVAILABLE_STATUSES = frozenset((403, 429))
@@ -46,7 +48,8 @@
     Args:
       addresses: IP:port of the store's servers; after a failed call, the next
         one is used.
-      timeout_s: Time limit of a call in seconds, watches excepted.
+      timeout_s: Time limit of a call in seconds; that of a watch is longer by
+        the time for which it waits.
       dialect: Protocol of the store, ``DefaultDialect`` if None.
     """
     self._addresses = tuple(addresses)
@@ -54,7 +57,7 @@
     self._timeout_s = timeout_s
     self._dialect = dialect or dialects.DefaultDialect()
     self._pool = httpcore.AsyncConnectionPool(
-      max_connections=16, keepalive_expiry=30.0
+      max_connections=16, keepalive_expiry=_MAX_IDLE_S
     )
     self.calls = 0
     self.era: int | None = None
@@ -183,9 +186,7 @@
     """
     after_number = eras.get_number(after)
     call = self._dialect.make_watch(prefix, after_number, wait_s)
-    response = await self._call(
-      call, timeout_s=wait_s + _WATCH_TIMEOUT_MARGIN_S
-    )
+    response = await self._call(call, timeout_s=wait_s + self._timeout_s)
     if response.status == self._dialect.history_gone_status:
       raise exceptions.HistoryGoneError(
         f"no history after revision {after_number}"
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -394,6 +394,7 @@
     self._change_event = asyncio.Event()
     self._oldest_revision = 0
     self._writers: set[asyncio.StreamWriter] = set()
+    self._silenced: set[asyncio.StreamWriter] = set()
 
   def put(self, key: str, value: Any, lease: int = 0) -> int:
     """Writes a key.
@@ -465,6 +466,7 @@
       await self._serve_calls(reader, writer)
     finally:
       self._writers.discard(writer)
+      self._silenced.discard(writer)
       writer.close()
 
   async def _serve_calls(
@@ -481,6 +483,8 @@
         status, body = await self._handle_call(request)
         if self.mode == "lose":
           break
+        if writer in self._silenced:
+          await asyncio.sleep(3600)
         data = json.dumps(body).encode()
         fields = {
           "Content-Type": "application/json",
@@ -488,6 +492,10 @@
         }
         writer.write(format_response(status, fields, data))
 
+  def silence_connections(self) -> None:
+    """Makes open connections silent for good; new ones are served."""
+    self._silenced |= self._writers
+
   def abort_connections(self) -> None:
     """Aborts all connections."""
     for writer in self._writers:
@@ -641,6 +649,10 @@
     """Drops the change history of the store."""
     self.call(self._run_in_loop(self.store.clear_history))
 
+  def silence_store_connections(self) -> None:
+    """Makes the store's open connections silent; new ones are served."""
+    self.call(self._run_in_loop(self.store.silence_connections))
+
   def copy_store(self) -> StoreCopy:
     """Returns a copy of the store."""
     return self.call(self._run_in_loop(self.store.copy))
