Gateway: date the wait of a held configuration from the last contact with the store

A node that reads a configuration late holds it back for its upstreams all the same, for up to 1.4 s. With a pause after a failed watch (up to 1 s) and the one between watches (0.8 s) that exceeds the limit of 3 s, though each part is within it.

Cause: the wait began when this node read the change. The limit begins when the store acknowledged it, which is at any time after the last moment at which the node knew all changes.

Change: that moment is kept (known_until), and a held configuration is in force 0.3 s before the limit that the settings state for it, counted from then. Changes are applied before the contact that brought them is recorded; a watch that had to wait shows that nothing had changed when it began. In usual times nodes wait as long as before.

--- a/packages/gateway/src/bronzefold/gateway/contact.py
+++ b/packages/gateway/src/bronzefold/gateway/contact.py
@@ -17,13 +17,14 @@
 # Least time between own reads of a node that is to be updated by others: it has
 # just started, or they have lost the store.
 OWN_READ_PERIOD_S = 1.6
-# Longest time that a watch waits for a change. A watch on a connection that has
-# gone silent ends only at its time limit, and its changes are due 4 s after that
-# happened.
+# Longest time that a watch waits for a change. On a connection that has gone
+# silent a watch ends only at its time limit; changes are due 4 s after that.
 WATCH_WAIT_S = 1.2
 # The same for a node that updates others, which must hear often that nothing
 # has changed.
 UPDATER_WATCH_WAIT_S = 0.5
+# A watch that finds changes returns within this time; 60 times a usual one.
+MAX_RESPONSE_S = 0.25
 
 
 def must_read(
@@ -80,6 +81,18 @@
   return asked_at if has_changes or waited_until > now else waited_until
 
 
+def has_waited(asked_at: Seconds, now: Seconds) -> bool:
+  """True if a watch that returns now has waited for a change.
+
+  The store then had no change when the watch began.
+
+  Args:
+    asked_at: Monotonic time at which the watch began.
+    now: Monotonic time.
+  """
+  return now - asked_at > MAX_RESPONSE_S
+
+
 def get_stated_age(
   members: membership.Membership, plan: topology.Topology, now: Seconds
 ) -> Seconds | None:
--- a/packages/gateway/src/bronzefold/gateway/follower.py
+++ b/packages/gateway/src/bronzefold/gateway/follower.py
@@ -103,17 +103,20 @@
   async def _read_all(self) -> None:
     asked_at = clock.read_monotonic()
     listing = await self._client.list_prefix("")
-    self._record_store_reply(asked_at)
+    # Changes are applied first: they may be as old as the previous contact.
     self._replica.apply_listing(listing, clock.read_monotonic())
+    self._record_store_reply(asked_at)
 
   async def _read_changes(self, wait_s: Seconds) -> None:
     asked_at = clock.read_monotonic()
     listing = await self._client.watch("", self._replica.revision, wait_s)
     now = clock.read_monotonic()
+    if contact.has_waited(asked_at, now):
+      self._record_store_reply(asked_at)
+    self._replica.apply_changes(listing.entries, listing.revision, now)
     self._record_store_reply(
       contact.date_watch(asked_at, wait_s, bool(listing.entries), now)
     )
-    self._replica.apply_changes(listing.entries, listing.revision, now)
     self._replica.expire(now)
 
   def _record_store_reply(self, reached_at: Seconds) -> None:
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from typing import Protocol
 
@@ -32,9 +33,9 @@
 from bronzefold.gateway import sending
 from bronzefold.gateway import settings
 
-# A configuration must be in force within 3 s; 0.8 s pass between watches of the
-# store, the rest is a margin.
-MAX_PENDING_S = 1.4
+MAX_PENDING_S = 1.4  # upstreams of a new shard are usable within about 1 s
+# The rest of the limit is for the change's way from the store to this node.
+APPLY_MARGIN_S = 0.3
 MAX_RETRY_AFTER_S = 1.0  # a rate limit may end at any moment
 RETRY_AFTER_S = 0.05  # another node serves the request at once
 NOT_READY_RETRY_AFTER_S = 0.3  # about as long as a node takes to start
@@ -65,10 +66,12 @@
     configuration: The configuration.
     pending_since: Monotonic time since which the node holds back a
       configuration, this one or an older one that it superseded.
+    apply_by: Monotonic time at which it is put in force in any case.
   """
 
   configuration: model.Configuration
   pending_since: Seconds
+  apply_by: Seconds
 
 
 class TokenSource(Protocol):
@@ -99,6 +102,8 @@
 
   Attributes:
     configuration: The configuration in force; None before the first.
+    known_until: Monotonic time until which all changes were known before those
+      that are being applied now, which are younger.
     upstreams: The inventory of upstreams.
     rollouts: Rollouts of service versions.
     limit_share: Share of each fleet-wide limit that this node may use.
@@ -126,6 +131,7 @@
       tasks: Task group for work that outlives a request.
     """
     self.configuration: model.Configuration | None = None
+    self.known_until: Seconds = -math.inf
     self.upstreams = inventory.Inventory(self._get_connection_limit)
     self.rollouts = rollouts.Rollouts()
     self.limit_share = 1.0 / node_settings.assumed_nodes
@@ -206,7 +212,8 @@
 
     A configuration that changes the shards of a search route to ones without
     usable upstreams is held back for up to ``MAX_PENDING_S`` until they are
-    usable; the previous shards serve meanwhile.
+    usable; the previous shards serve meanwhile. The wait ends earlier if the
+    configuration may have been acknowledged long before this node read it.
     It is held back as a whole, since no request may be handled by an older
     version after another one was handled by a newer version.
 
@@ -222,8 +229,15 @@
     )
     if newest is not None and configuration.version <= newest.version:
       return False
-    pending_since = self._pending.pending_since if self._pending else now
-    self._pending = _PendingConfiguration(configuration, pending_since)
+    apply_limit_s = self._settings.configuration_limit_s - APPLY_MARGIN_S
+    apply_by = min(now + MAX_PENDING_S, self.known_until + apply_limit_s)
+    pending_since = now
+    if self._pending is not None:
+      pending_since = self._pending.pending_since
+      apply_by = min(apply_by, self._pending.apply_by)
+    self._pending = _PendingConfiguration(
+      configuration, pending_since, apply_by
+    )
     self.apply_pending_configuration(now)
     return True
 
@@ -236,7 +250,7 @@
     pending = self._pending
     if pending is None:
       return
-    if now - pending.pending_since < MAX_PENDING_S and self._must_hold_back(
+    if now < pending.apply_by and self._must_hold_back(
       pending.configuration, now
     ):
       return
--- a/packages/gateway/src/bronzefold/gateway/replica.py
+++ b/packages/gateway/src/bronzefold/gateway/replica.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import logging
+import math
 
 import anyio
 import attrs
@@ -163,6 +164,8 @@
     """
     if self._is_of_later_era(revision):
       self._restore_grace_until = now + RESTORE_GRACE_S
+    age_s = self._members.get_store_contact_age(now)
+    self._gateway.known_until = -math.inf if age_s is None else now - age_s
     previous_revision = self.effective_revision
     ignored: list[store.Entry] = []
     for entry in entries:
--- a/packages/gateway/src/bronzefold/gateway/settings.py
+++ b/packages/gateway/src/bronzefold/gateway/settings.py
@@ -27,6 +27,8 @@
       service for each of its requests.
     retry_slack: Number of extra requests allowed in addition, over all nodes.
     retry_window_s: Window in which extra requests are counted, in seconds.
+    configuration_limit_s: Time from the store's acknowledgement of a
+      configuration until it must be in force, in seconds.
     stop_limit_s: Longest duration of a graceful stop, in seconds.
     addresses_keep_s: How long callers may cache a directory response, in
       seconds.
@@ -48,6 +50,7 @@
   retry_ratio: float = 0.2
   retry_slack: float = 0.0
   retry_window_s: Seconds = 10.0
+  configuration_limit_s: Seconds = 3.0
   stop_limit_s: Seconds = 6.0
   addresses_keep_s: Seconds = ADDRESSES_KEEP_S
   is_first_start: bool = False
