Rollouts: a version is done once it has proven itself, not by time alone

What callers saw: a bad version went on getting requests more than 5 s after its 50th bad answer, at the end all requests of its service.

Cause: a rollout was done when its time was over, however few attempts the version had served, and nothing judged it from then on. A service with few requests sends a canary share of 5% next to nothing for most of the duration and shifts a second before the end; a configuration then moves a route to it. Class: absence of evidence taken for evidence.

Change: all traffic shifts early enough for 30 attempts before the end, at most for three quarters of the duration. Done needs 30 attempts under the whole load, or the whole load for half of the duration, no doubt, and no more than a fifth failed. A version that had its chance and is not proven is rolled back. Counts are kept from the shift on, since those of the old version would leave the window otherwise. A version that is done because its service had no requests at all is on probation for its first 30 attempts: if a third of them fail with a status of 500 or more, five at least, it gets no more.

test_completed_rollout_reports_no_regression demanded the fault: that failures are ignored once a rollout is done. It now demands it of a proven version, and another test demands that an unproven one is stopped.

Tests: tests.test_gateway_rollouts.ProofTest; all fail on the code before, which has no such decision.

--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -253,6 +253,8 @@
     self._update_demand()
     if self._replica.revision:
       self._update_share(now)
+    if self._topology.is_hub:
+      self._gateway.rollouts.advance(now)
     self._send_heartbeats(self._topology.neighbours, now)
     self._send_version_counts(now)
     self._crash_reports.repeat(now)
--- a/packages/gateway/src/bronzefold/gateway/rollouts.py
+++ b/packages/gateway/src/bronzefold/gateway/rollouts.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import enum
+import http
 import logging
 
 import attrs
 
 from bronzefold import store
 from bronzefold.core import budgets
+from bronzefold.core import defaults
 from bronzefold.core import events
 from bronzefold.core import evidence
 from bronzefold.core.clock import Seconds
@@ -22,6 +24,23 @@
 FINISH_LEAD_S = 2.4
 MAX_SHIFT_SHARE = 0.15  # of the duration; limits the shift of orders below 27 s
 WRITE_DELAY_PER_RANK_S = 0.8  # the next node sees a write after a watch pause
+# Attempts that a version must have served under the whole load before it is
+# done. A service with few requests shifts earlier, to have as many; a bad
+# version may get 50 requests more than its share.
+PROOF_ATTEMPTS = 30
+MAX_PROOF_SHARE = 0.75  # of the duration; limits an earlier shift
+# With fewer requests, a version needs the whole load for this share of the
+# duration.
+LONG_SHIFT_SHARE = 0.5
+MIN_OBSERVATION_S = 2.0  # before that, a node does not know the load
+# A version that is not proven after so many durations is rolled back.
+MAX_DURATIONS = 2.0
+# A version of whose attempts a larger share failed is not proven.
+MAX_FAILED_SHARE = 0.2
+# A version that was done without proof, as its service had no requests, is
+# stopped if so many of its first attempts fail.
+PROBATION_FAILURES = 5
+PROBATION_FAILED_SHARE = 1.0 / 3.0
 
 _SLOW_QUANTILE = 0.95
 _SLOW_FACTOR = 2.0  # bad versions on the platform are "several times slower"
@@ -78,8 +97,13 @@
 
   Attributes:
     order: The order.
-    order_received_at: Monotonic time at which this node received the order.
+    ordered_at: Monotonic time at which the first node received the order, as
+      far as this node knows.
+    observed_since: Monotonic time at which this node received the order.
+    shifted_at: Monotonic time at which this node learnt of a shift before its
+      usual time; None if there was none.
     observed_counts: Counts of good, failed and slow attempts, from all nodes.
+    proof_counts: Those of the version since the shift, until it is proven.
     baselines: Latency quantiles of the other versions, by route.
     regression: Why the version is worse than the others; empty if it is not.
     regressed_at: Monotonic time at which the regression was detected.
@@ -90,8 +114,13 @@
   """
 
   order: RolloutOrder
-  order_received_at: Seconds
+  ordered_at: Seconds
+  observed_since: Seconds
+  shifted_at: Seconds | None = None
   observed_counts: evidence.Evidence = attrs.field(factory=evidence.Evidence)
+  proof_counts: evidence.ExchangeCounts = attrs.field(
+    factory=evidence.ExchangeCounts
+  )
   baselines: dict[str, budgets.LatencyQuantile] = attrs.field(factory=dict)
   regression: str = ""
   regressed_at: Seconds = 0.0
@@ -122,7 +151,8 @@
   Without an order, all versions of a service are treated alike. During a
   rollout the new version gets a small share of the requests, and all of them
   shortly before the duration ends, unless the version has regressed compared
-  with the others.
+  with the others. It is done once it has proven itself under the whole load. If
+  its service had no requests, it is on probation from then on.
   """
 
   def __init__(self) -> None:
@@ -155,7 +185,7 @@
       or _is_rewritten(current.order, order)
     ):
       return False
-    self._rollouts[order.service] = Rollout(order, now)
+    self._rollouts[order.service] = Rollout(order, now, now)
     self._record_final_state(order.service)
     return True
 
@@ -188,17 +218,35 @@
     rollout = self._rollouts.get(service)
     if rollout is None:
       return None
-    if rollout.final_state is not None:
-      return rollout.final_state
-    return (
-      RolloutState.ROLLED_BACK if rollout.regression else RolloutState.RUNNING
-    )
+    if rollout.regression:
+      return RolloutState.ROLLED_BACK
+    return rollout.final_state or RolloutState.RUNNING
 
   def get_record_revision(self, service: str) -> int:
     """Returns the revision of a service's record; 0 if there is none."""
     record = self._records.get(service)
     return record.revision if record else 0
 
+  def advance(self, now: Seconds) -> None:
+    """Takes the decisions that need the counts of all nodes.
+
+    Args:
+      now: Monotonic time.
+    """
+    for rollout in self._rollouts.values():
+      service = rollout.order.service
+      if self.get_state(service) is not RolloutState.RUNNING:
+        continue
+      if not _has_shifted(rollout, now) and _must_shift_early(rollout, now):
+        self._shift(rollout, now)
+      if _must_end(rollout, now) and not self._is_proven(rollout, now):
+        counts = rollout.proof_counts
+        reason = (
+          f"under the whole load, {counts.failed} of {counts.total} exchanges "
+          "failed"
+        )
+        self._record_regression(rollout, reason, now)
+
   def filter_upstreams(
     self,
     service: str,
@@ -249,10 +297,13 @@
       now: Monotonic time.
     """
     rollout = self._rollouts.get(attempt.service)
-    if (
-      rollout is None
-      or self.get_state(attempt.service) is not RolloutState.RUNNING
-    ):
+    if rollout is None:
+      return
+    state = self.get_state(attempt.service)
+    is_on_probation = _is_on_probation(rollout)
+    if state is not RolloutState.RUNNING and not is_on_probation:
+      return
+    if is_on_probation and not _is_own_answer(attempt):
       return
     version = attempt.upstream.instance.version
     counts = _classify_attempt(rollout, attempt, route, version, now)
@@ -322,14 +373,16 @@
     record = self._get_record(rollout)
     if record is not None and record.state is not RolloutState.RUNNING:
       return None
-    elapsed_since_turn_s = now - rollout.order_received_at - wait_s
+    elapsed_since_turn_s = now - rollout.ordered_at - wait_s
     if rollout.final_state is not None:
       is_due = elapsed_since_turn_s >= 0.0
       state = rollout.final_state
     elif rollout.regression:
       is_due = now - rollout.regressed_at >= wait_s
       state = RolloutState.ROLLED_BACK
-    elif elapsed_since_turn_s >= _compute_finish_delay(rollout.order):
+    elif elapsed_since_turn_s >= _compute_finish_delay(
+      rollout.order
+    ) and self._is_proven(rollout, now):
       is_due, state = True, RolloutState.DONE
     else:
       is_due, state = (
@@ -367,10 +420,16 @@
     now: Seconds,
   ) -> None:
     """Adds counts and checks the new version for a regression."""
+    if rollout.final_state is not None or _has_shifted(rollout, now):
+      rollout.observed_counts.keep()
+      if version == rollout.order.version:
+        rollout.proof_counts.add(counts)
     rollout.observed_counts.record(version, route, counts, now)
     has_bad_attempts = counts.failed or counts.slow
     if not has_bad_attempts or version != rollout.order.version:
       return
+    if _is_on_probation(rollout):
+      self._judge_probation(rollout, now)
     if self.get_state(rollout.order.service) is not RolloutState.RUNNING:
       return
     other_versions = rollout.observed_counts.list_versions() - {version}
@@ -378,13 +437,67 @@
       version, other_versions, [route], now
     )
     if regression is not None:
-      rollout.regression, rollout.regressed_at = regression, now
-      events.VERSION_SUSPECTED.log(
-        _logger,
-        service=rollout.order.service,
-        version=version,
-        reason=regression,
-      )
+      self._record_regression(rollout, regression, now)
+
+  def _judge_probation(self, rollout: Rollout, now: Seconds) -> None:
+    """Stops a version that was done without proof, if its attempts fail."""
+    counts = rollout.proof_counts
+    if (
+      counts.failed >= PROBATION_FAILURES
+      and counts.failed >= PROBATION_FAILED_SHARE * counts.total
+    ):
+      reason = f"{counts.failed} of its first {counts.total} exchanges failed"
+      self._record_regression(rollout, reason, now)
+
+  def _record_regression(
+    self, rollout: Rollout, reason: str, now: Seconds
+  ) -> None:
+    """Records that the version of a running rollout has regressed."""
+    rollout.regression, rollout.regressed_at = reason, now
+    events.VERSION_SUSPECTED.log(
+      _logger,
+      service=rollout.order.service,
+      version=rollout.order.version,
+      reason=reason,
+    )
+
+  def _shift(self, rollout: Rollout, now: Seconds) -> None:
+    """Gives a version all traffic before the usual time."""
+    rollout.shifted_at = now
+    events.VERSION_MOVED.log(
+      _logger,
+      service=rollout.order.service,
+      version=rollout.order.version,
+      state="shifted",
+      elapsed_s=round(now - rollout.ordered_at, 3),
+    )
+
+  def _is_proven(self, rollout: Rollout, now: Seconds) -> bool:
+    """True if a version has served enough, and nothing speaks against it.
+
+    A version of a service without requests needs no proof.
+    """
+    if now - rollout.observed_since < MIN_OBSERVATION_S:
+      return False
+    counts = rollout.observed_counts
+    if not counts.count_all(now):
+      return _knows_whole_rollout(rollout, now)
+    attempts = rollout.proof_counts.total
+    if not attempts or (
+      attempts < PROOF_ATTEMPTS and not _has_long_shifted(rollout, now)
+    ):
+      return False
+    version = rollout.order.version
+    if counts.sum_version(version, now).failed_share > MAX_FAILED_SHARE:
+      return False
+    doubt = counts.find_regression(
+      version,
+      counts.list_versions() - {version},
+      counts.list_routes(),
+      now,
+      evidence.DOUBT,
+    )
+    return doubt is None
 
 
 def _is_rewritten(current: RolloutOrder, order: RolloutOrder) -> bool:
@@ -398,9 +511,86 @@
 
 def compute_new_version_share(rollout: Rollout, now: Seconds) -> float:
   """Computes the new version's share of requests in a running rollout."""
+  return 1.0 if _has_shifted(rollout, now) else CANARY_SHARE
+
+
+def _has_shifted(rollout: Rollout, now: Seconds) -> bool:
+  """True once all traffic of a running rollout goes to its version."""
   shift_delay_s = _compute_shift_delay(rollout.order)
   return (
-    1.0 if now - rollout.order_received_at >= shift_delay_s else CANARY_SHARE
+    rollout.shifted_at is not None or now - rollout.ordered_at >= shift_delay_s
+  )
+
+
+def _knows_whole_rollout(rollout: Rollout, now: Seconds) -> bool:
+  """True unless a node has started in the middle of a rollout."""
+  return (
+    rollout.observed_since - rollout.ordered_at < MIN_OBSERVATION_S
+    or now - rollout.observed_since >= rollout.order.duration_s
+  )
+
+
+def _has_long_shifted(rollout: Rollout, now: Seconds) -> bool:
+  """True if a version has had all traffic for much of the duration."""
+  shifted_at = rollout.shifted_at
+  if shifted_at is None:
+    shifted_at = rollout.ordered_at + _compute_shift_delay(rollout.order)
+  return now - shifted_at >= LONG_SHIFT_SHARE * rollout.order.duration_s
+
+
+def _must_shift_early(rollout: Rollout, now: Seconds) -> bool:
+  """True if the time until a rollout's end is just enough to prove a version.
+
+  Args:
+    rollout: The rollout, which has not shifted.
+    now: Monotonic time.
+  """
+  duration_s = rollout.order.duration_s
+  observed_s = now - rollout.observed_since
+  elapsed_s = now - rollout.ordered_at
+  if (
+    observed_s < MIN_OBSERVATION_S
+    or elapsed_s < (1.0 - MAX_PROOF_SHARE) * duration_s
+  ):
+    return False
+  attempts = rollout.observed_counts.count_all(now)
+  attempts_per_s = attempts / min(observed_s, defaults.ROLLOUT_WINDOW_S)
+  left_s = _compute_finish_delay(rollout.order) - elapsed_s
+  return 0 < attempts_per_s * left_s <= PROOF_ATTEMPTS
+
+
+def _must_end(rollout: Rollout, now: Seconds) -> bool:
+  """True if a rollout should not wait for further proof."""
+  elapsed_s = now - rollout.ordered_at
+  had_its_chance = (
+    rollout.proof_counts.total > 0
+    and _has_long_shifted(rollout, now)
+    and elapsed_s >= _compute_finish_delay(rollout.order)
+  )
+  return had_its_chance or elapsed_s >= (
+    MAX_DURATIONS * rollout.order.duration_s
+  )
+
+
+def _is_on_probation(rollout: Rollout) -> bool:
+  """True while a version that is done has served too little to be proven."""
+  return (
+    rollout.final_state is RolloutState.DONE
+    and not rollout.regression
+    and rollout.proof_counts.total < PROOF_ATTEMPTS
+  )
+
+
+def _is_own_answer(attempt: sending.Attempt) -> bool:
+  """True if an attempt shows how its version answers.
+
+  A lost connection tells of a crash, and some services answer many requests
+  with a status below 500.
+  """
+  if attempt.outcome is sending.Outcome.SERVED:
+    return True
+  return attempt.outcome is sending.Outcome.FAILED and (
+    attempt.response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
   )
 
 
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -15,6 +15,9 @@
 from tests import gateways
 from tests.standins import site as sites
 
+# Limits of the platform for the requests that a bad version may get.
+CANARY_SHARE = 0.1
+CANARY_SLACK = 50
 ORDER = rollouts.RolloutOrder("s", "v2", 30.0, 7)
 FAILED = evidence.ExchangeCounts(failed=6)
 GOOD = evidence.ExchangeCounts(good=300)
@@ -185,8 +188,9 @@
     (record,) = self.rollouts.list_due_records(0, 1.0)
     self.assertEqual(record.revision, 0)
 
-  def test_completed_rollout_reports_no_regression(self):
+  def test_proven_version_is_not_judged_once_it_is_done(self):
     self.set_record(rollouts.RolloutState.DONE, 8)
+    self.add_counts(("v2", evidence.ExchangeCounts(good=30)))
     with self.assertNoLogs("bronzefold.gateway.rollouts", "WARNING"):
       self.add_counts(("v1", GOOD), ("v2", FAILED))
     self.assertEqual(self.rollouts.get_state("s"), rollouts.RolloutState.DONE)
@@ -214,6 +218,132 @@
     self.assertEqual(self.rollouts.pop_unsent_counts(), [])
 
 
+class ProofTest(unittest.TestCase):
+  """A version must serve enough before its rollout is done."""
+
+  def setUp(self):
+    self.rollouts = rollouts.Rollouts()
+    self.rollouts.set_order(ORDER, 0.0)
+
+  def serve(
+    self,
+    all_rollouts: rollouts.Rollouts,
+    per_s: int,
+    start: int,
+    end: int,
+    **new_counts: int,
+  ) -> None:
+    """Counts requests of each second as the rollout distributes them.
+
+    Args:
+      all_rollouts: The rollouts of the node.
+      per_s: Requests in a second.
+      start: Time of the first second.
+      end: Time of the last second.
+      **new_counts: Counts of the new version for 10 of its requests.
+    """
+    new_counts = new_counts or {"good": 10}
+    for now in range(start, end):
+      all_rollouts.advance(float(now))
+      for number in range(per_s):
+        at = now + number / per_s
+        (upstream, *_) = all_rollouts.filter_upstreams(
+          "s", [OLD, NEW], True, at
+        )
+        if upstream is OLD:
+          counts = evidence.ExchangeCounts(good=1)
+        else:
+          self.new_count += 1
+          is_bad = self.new_count % 10 >= new_counts.get("good", 0)
+          counts = evidence.ExchangeCounts(good=not is_bad, failed=is_bad)
+        version_counts = rollouts.VersionCounts(
+          "s", upstream.instance.version, "r", counts
+        )
+        all_rollouts.add_peer_counts(version_counts, False, at)
+
+  new_count = 0
+
+  def list_due_states(self, now: float) -> list[rollouts.RolloutState]:
+    return [
+      record.state
+      for record in self.rollouts.list_due_records(0, now)
+      if record.state is not rollouts.RolloutState.RUNNING
+    ]
+
+  def test_bad_version_of_a_service_with_few_requests_is_not_done(self):
+    for per_s in (1, 3, 5, 20):
+      for good in (0, 4, 6):
+        with self.subTest(per_s=per_s, good=good):
+          self.setUp()
+          self.new_count = 0
+          self.serve(self.rollouts, per_s, 0, 62, good=good)
+          self.assertIs(
+            self.rollouts.get_state("s"), rollouts.RolloutState.ROLLED_BACK
+          )
+          self.assertLess(
+            self.new_count,
+            CANARY_SLACK + CANARY_SHARE * per_s * ORDER.duration_s,
+          )
+
+  def test_good_version_of_a_service_with_few_requests_is_done_in_time(self):
+    for per_s in (1, 3, 5, 20):
+      with self.subTest(per_s=per_s):
+        self.setUp()
+        self.serve(self.rollouts, per_s, 0, 29)
+        self.assertEqual(
+          self.list_due_states(29.0), [rollouts.RolloutState.DONE]
+        )
+
+  def test_version_without_proof_is_not_done_by_time_alone(self):
+    self.serve(self.rollouts, 5, 0, 10)
+    self.assertEqual(self.list_due_states(29.0), [])
+
+  def test_version_that_serves_nothing_is_rolled_back_in_the_end(self):
+    old = rollouts.VersionCounts("s", "v1", "r", GOOD)
+    for now in (20.0, 40.0, 59.0, 60.0):
+      self.rollouts.add_peer_counts(old, False, now)
+      self.rollouts.advance(now)
+    self.assertEqual(
+      self.list_due_states(60.0), [rollouts.RolloutState.ROLLED_BACK]
+    )
+
+  def test_bad_version_that_was_done_without_requests_is_stopped(self):
+    self.assertEqual(self.list_due_states(29.0), [rollouts.RolloutState.DONE])
+    self.rollouts.set_record(
+      rollouts.RolloutRecord("s", "v2", rollouts.RolloutState.DONE, 9)
+    )
+    for number in range(12):
+      outcome = sending.Outcome.FAILED if number % 2 else sending.Outcome.SERVED
+      response = model.UpstreamResponse(500, (), b"")
+      attempt = attrs.evolve(
+        make_attempt(NEW, outcome, 40.0), response=response
+      )
+      self.rollouts.record_attempt(attempt, "r", 40.01)
+    self.assertEqual(self.rollouts.filter_upstreams("s", [NEW], True, 41.0), [])
+
+  def test_version_on_probation_stays_in_use_while_its_upstreams_crash(self):
+    self.rollouts.set_record(
+      rollouts.RolloutRecord("s", "v2", rollouts.RolloutState.DONE, 9)
+    )
+    for _ in range(20):
+      attempt = make_attempt(NEW, sending.Outcome.UNKNOWN, 40.0)
+      self.rollouts.record_attempt(attempt, "r", 40.01)
+    self.assertEqual(
+      self.rollouts.filter_upstreams("s", [NEW], True, 41.0), [NEW]
+    )
+
+  def test_version_that_fails_its_only_requests_is_rolled_back_in_time(self):
+    for now in range(30):
+      self.rollouts.advance(float(now))
+      if now in (12, 25):
+        counts = evidence.ExchangeCounts(failed=1)
+        version_counts = rollouts.VersionCounts("s", "v2", f"r{now}", counts)
+        self.rollouts.add_peer_counts(version_counts, False, float(now))
+    self.assertEqual(
+      self.list_due_states(29.0), [rollouts.RolloutState.ROLLED_BACK]
+    )
+
+
 class RolloutFleetTest(unittest.TestCase):
   """Two nodes that carry out an order of 8 s on the stand-in platform."""
 
