Rollouts: nodes tell each other where a rollout stands

Cause: a node that starts takes its own start for that of the order, and is told neither that all traffic has shifted nor that the version has regressed. Class: state of the fleet that is told only as it changes.

Change: heartbeats carry, for each rollout without a final record, the age of the order, whether it has shifted early, and the regression. Nodes take the oldest age. So a node knows with its first heartbeat, each half second again, and an older build ignores the field; a message of its own would make it refuse the whole frame. A status that comes before its order is kept. Spokes of large fleets, which have not the counts to see a regression, now learn of it in this way too. A node that started in the middle does not take the service for idle.

Tests: tests.test_gateway_rollouts.StatusTest, and heartbeats of other builds in tests.test_links; before, a node has nothing to tell.

--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -277,6 +277,8 @@
     if heartbeat.node != sender or sender == self._members.own_member.node:
       return
     self._members.record_heartbeat(heartbeat, self._replica.revision)
+    for status in heartbeat.rollouts:
+      self._gateway.rollouts.merge_status(status, now)
     if heartbeat.entry_addresses:
       self._directory.record_report(sender, heartbeat.entry_addresses)
     self._network.connect(sender, heartbeat.peer_address)
@@ -391,9 +393,11 @@
 
   def _make_heartbeat(self, receiver: str, now: Seconds) -> messages.Heartbeat:
     age_s = contact.get_stated_age(self._members, self._topology, now)
-    return self._members.make_heartbeat(
+    heartbeat = self._members.make_heartbeat(
       receiver, age_s, self._replica.effective_revision, 0, now
     )
+    statuses = self._gateway.rollouts.list_statuses(now)
+    return attrs.evolve(heartbeat, rollouts=statuses) if statuses else heartbeat
 
   def _update_connections(self) -> None:
     """Connects to the neighbours, or to the seeds while there are none."""
--- a/packages/gateway/src/bronzefold/gateway/rollouts.py
+++ b/packages/gateway/src/bronzefold/gateway/rollouts.py
@@ -16,6 +16,7 @@
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import inventory
 from bronzefold.gateway import sending
+from bronzefold.peers import messages
 
 CANARY_SHARE = 0.05  # limit over a whole rollout: 0.1; the shift uses the rest
 SHIFT_LEAD_S = 4.0  # the new version gets all traffic this long before the end
@@ -153,6 +154,9 @@
   shortly before the duration ends, unless the version has regressed compared
   with the others. It is done once it has proven itself under the whole load. If
   its service had no requests, it is on probation from then on.
+
+  Nodes tell each other the statuses of rollouts, so a node that has just
+  started knows where they stand.
   """
 
   def __init__(self) -> None:
@@ -161,6 +165,7 @@
     self._unsent_counts: dict[
       tuple[str, str, str], evidence.ExchangeCounts
     ] = {}
+    self._early_statuses: dict[str, messages.RolloutStatus] = {}
 
   @property
   def has_orders(self) -> bool:
@@ -187,6 +192,9 @@
       return False
     self._rollouts[order.service] = Rollout(order, now, now)
     self._record_final_state(order.service)
+    early_status = self._early_statuses.pop(order.service, None)
+    if early_status is not None:
+      self.merge_status(early_status, now)
     return True
 
   def cancel_order(self, service: str) -> bool:
@@ -247,6 +255,46 @@
         )
         self._record_regression(rollout, reason, now)
 
+  def list_statuses(self, now: Seconds) -> tuple[messages.RolloutStatus, ...]:
+    """Lists where the rollouts stand that the store does not tell of.
+
+    Args:
+      now: Monotonic time.
+    """
+    return tuple(
+      messages.RolloutStatus(
+        rollout.order.service,
+        rollout.order.revision,
+        now - rollout.ordered_at,
+        rollout.shifted_at is not None,
+        rollout.regression,
+      )
+      for rollout in self._rollouts.values()
+      if rollout.final_state is None
+      or (rollout.final_state is RolloutState.DONE and rollout.regression)
+    )
+
+  def merge_status(self, status: messages.RolloutStatus, now: Seconds) -> None:
+    """Merges what another node knows of a rollout.
+
+    Args:
+      status: The status; it is kept while its order is not known here.
+      now: Monotonic time.
+    """
+    rollout = self._rollouts.get(status.service)
+    if rollout is None or rollout.order.revision < status.revision:
+      self._early_statuses[status.service] = status
+      return
+    if rollout.order.revision != status.revision:
+      return
+    rollout.ordered_at = min(rollout.ordered_at, now - status.age_s)
+    if self.get_state(status.service) is RolloutState.ROLLED_BACK:
+      return
+    if status.is_shifted and rollout.shifted_at is None:
+      self._shift(rollout, now)
+    if status.regression:
+      self._record_regression(rollout, status.regression, now)
+
   def filter_upstreams(
     self,
     service: str,
--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -100,6 +100,26 @@
     ) from error
 
 
+@attrs.frozen
+class RolloutStatus:
+  """Where a gateway node believes that a rollout stands.
+
+  Attributes:
+    service: Name of the service.
+    revision: Store revision of the order.
+    age_s: Seconds since the first node received the order.
+    is_shifted: True once all traffic goes to the new version, if that was
+      before the usual time.
+    regression: Why the version is worse than the others; empty if it is not.
+  """
+
+  service: str
+  revision: int
+  age_s: float
+  is_shifted: bool = False
+  regression: str = ""
+
+
 @register_message("heartbeat")
 @attrs.frozen
 class Heartbeat:
@@ -123,6 +143,7 @@
     entry_addresses: Caller addresses of the entry nodes that a hub of a gateway
       knows to be alive; empty in heartbeats to nodes that are not its spokes.
     reaches_upstreams: False while the node reaches none of the upstreams.
+    rollouts: Rollouts of a gateway that have no final record.
   """
 
   node: str
@@ -139,6 +160,7 @@
   demand: float = 0.0
   entry_addresses: tuple[str, ...] = ()
   reaches_upstreams: bool = True
+  rollouts: tuple[RolloutStatus, ...] = ()
 
 
 @register_message("sync_request")
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -49,7 +49,9 @@
     )
     gateway = types.SimpleNamespace(
       upstreams=inventory.Inventory(lambda _: 1),
-      rollouts=types.SimpleNamespace(pop_unsent_counts=lambda: [counts]),
+      rollouts=types.SimpleNamespace(
+        pop_unsent_counts=lambda: [counts], list_statuses=lambda now: ()
+      ),
       send_count=0,
       token_source=None,
       suspects=quarantine.Quarantine(),
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -320,6 +320,14 @@
       )
       self.rollouts.record_attempt(attempt, "r", 40.01)
     self.assertEqual(self.rollouts.filter_upstreams("s", [NEW], True, 41.0), [])
+    started = rollouts.Rollouts()
+    started.set_order(ORDER, 1.0)
+    started.set_record(
+      rollouts.RolloutRecord("s", "v2", rollouts.RolloutState.DONE, 9)
+    )
+    for status in self.rollouts.list_statuses(41.0):
+      started.merge_status(status, 2.0)
+    self.assertEqual(started.filter_upstreams("s", [NEW], True, 3.0), [])
 
   def test_version_on_probation_stays_in_use_while_its_upstreams_crash(self):
     self.rollouts.set_record(
@@ -343,6 +351,78 @@
       self.list_due_states(29.0), [rollouts.RolloutState.ROLLED_BACK]
     )
 
+  def test_started_node_does_not_take_a_busy_service_for_idle(self):
+    started = rollouts.Rollouts()
+    started.set_order(ORDER, 20.0)
+    for status in self.rollouts.list_statuses(20.4):
+      started.merge_status(status, 20.4)
+    self.assertEqual(
+      [record.state for record in started.list_due_records(0, 29.0)],
+      [rollouts.RolloutState.RUNNING],
+    )
+
+
+class StatusTest(unittest.TestCase):
+  """Nodes agree on where a rollout stands."""
+
+  def setUp(self):
+    self.first = rollouts.Rollouts()
+    self.first.set_order(ORDER, 100.0)
+
+  def tell(self, receiver: rollouts.Rollouts, sent: float, heard: float):
+    for status in self.first.list_statuses(sent):
+      receiver.merge_status(status, heard)
+
+  def get_shares(self, all_rollouts: rollouts.Rollouts, now: float):
+    return [
+      all_rollouts.filter_upstreams("s", [OLD, NEW], True, now)[
+        0
+      ].instance.version
+      for _ in range(40)
+    ]
+
+  def test_started_node_shifts_with_the_others(self):
+    started = rollouts.Rollouts()
+    started.set_order(ORDER, 15.0)  # its clock has another origin
+    self.assertEqual(self.get_shares(started, 16.6).count("v2"), 2)
+    self.tell(started, 126.2, 16.2)
+    self.assertEqual(self.get_shares(self.first, 126.6).count("v2"), 40)
+    self.assertEqual(self.get_shares(started, 16.6).count("v2"), 40)
+
+  def test_status_that_arrives_before_the_order_counts(self):
+    started = rollouts.Rollouts()
+    self.tell(started, 126.2, 16.2)
+    started.set_order(ORDER, 16.3)
+    self.assertEqual(self.get_shares(started, 16.6).count("v2"), 40)
+
+  def test_started_node_learns_of_a_regression(self):
+    for version, counts in (("v1", GOOD), ("v2", FAILED)):
+      self.first.add_peer_counts(
+        rollouts.VersionCounts("s", version, "r", counts), False, 105.0
+      )
+    started = rollouts.Rollouts()
+    started.set_order(ORDER, 15.0)
+    self.tell(started, 106.0, 15.5)
+    self.assertIs(started.get_state("s"), rollouts.RolloutState.ROLLED_BACK)
+
+  def test_status_of_another_order_is_ignored(self):
+    other = rollouts.Rollouts()
+    other.set_order(attrs.evolve(ORDER, revision=6), 15.0)
+    self.tell(other, 126.2, 16.2)
+    self.assertEqual(self.get_shares(other, 16.6).count("v2"), 2)
+
+  def test_younger_status_does_not_delay_a_rollout(self):
+    started = rollouts.Rollouts()
+    started.set_order(ORDER, 0.0)
+    self.tell(started, 101.0, 26.5)
+    self.assertEqual(self.get_shares(started, 26.6).count("v2"), 40)
+
+  def test_recorded_rollout_is_not_told(self):
+    self.first.set_record(
+      rollouts.RolloutRecord("s", "v2", rollouts.RolloutState.DONE, 9)
+    )
+    self.assertEqual(self.first.list_statuses(130.0), ())
+
 
 class RolloutFleetTest(unittest.TestCase):
   """Two nodes that carry out an order of 8 s on the stand-in platform."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import msgspec
 
 from bronzefold import peers
 from bronzefold.core import exceptions
@@ -55,6 +56,25 @@
     with self.assertRaises(exceptions.PeerFrameError):
       self.codec.decode(parts)
 
+  def test_heartbeats_of_earlier_and_later_builds_are_decoded(self):
+    fields = {
+      "node": "n1",
+      "zone": "a",
+      "state": "serving",
+      "caller_address": "h:1",
+      "peer_address": "h:5",
+      "platform_age_s": 0.1,
+      "config_revision": 7,
+      "digest": 0,
+      "sent_at": 3.0,
+      "echo": None,
+    }
+    for added in ({}, {"of_a_later_build": [{"service": "s"}]}):
+      body = msgspec.msgpack.encode(fields | added)
+      heartbeat = messages.decode_message(b"heartbeat", body)
+      self.assertEqual(heartbeat.config_revision, 7)
+      self.assertEqual(heartbeat.rollouts, ())
+
   def test_unknown_and_malformed_messages_are_refused(self):
     for name, body in (
       (b"none", b""),
