Nodes: a started node reaches upstreams only once a check has shown it

What callers saw: a node that starts while it is cut off from all upstreams is in the directory, until requests of callers have failed at several upstreams.

Cause: 'reaches upstreams' was true from the start. Class: unknown taken for yes.

Change: a node states that it reaches upstreams once probes of three of them, or a response, have shown it, and probes as soon as it knows any; until then others serve in its place, if any does. A fleet whose upstreams are all down lists all nodes as before. The first check gives no trust for the next second, unlike a doubt that proved wrong.

A request that was in progress at a node without any response so far was not handed over when the path was lost, as no latency tells when to look again; such requests now look each 0.1 s.

Tests, failed before: test_node_that_starts_while_it_is_cut_off_is_not_listed (its address was in the lists of all nodes), test_path_of_a_started_node_is_checked_before_any_request, and, with the first part of this change, the existing test_requests_in_progress_at_the_cut_are_served_by_others (502 five times).

--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -44,6 +44,9 @@
 MIN_TIME_LEFT_SHARE = 0.5
 # Ten round trips between zones; an allocator that takes longer is unreachable.
 MAX_TOKEN_WAIT_S = 0.01
+# The node may lose its path to the upstreams while a request waits; that ends
+# no attempt at upstreams of which no latency is known.
+PATH_CHECK_PERIOD_S = 0.1
 TIMER_SLACK_S = 0.0005  # timers fire up to this early
 
 
@@ -216,7 +219,7 @@
       self._send_all_first(now)
       while not self._is_decided(now):
         self._can_skip_waiting = self._compute_can_skip_waiting()
-        wake_at = self._get_wake_time(now)
+        wake_at = min(self._get_wake_time(now), now + PATH_CHECK_PERIOD_S)
         with anyio.move_on_after(max(0.0, wake_at - now)):
           await self._wake.wait()
         self._wake = anyio.Event()
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -105,6 +105,7 @@
       caller_address=node_settings.request_address,
       peer_address=node_settings.peer_address,
       capacity=node_settings.capacity,
+      reaches_upstreams=False,  # until a check shows that it does
     )
     self._members = membership.Membership(
       member, follower.MAX_STORE_AGE_S, coordinator.HEARTBEAT_TIMEOUT_S
--- a/packages/gateway/src/bronzefold/gateway/reach.py
+++ b/packages/gateway/src/bronzefold/gateway/reach.py
@@ -53,6 +53,11 @@
   responded_at: Seconds = -math.inf
   trusted_until: Seconds = -math.inf
 
+  @property
+  def is_unknown(self) -> bool:
+    """True until an upstream has responded or was probed."""
+    return self.lost_at is None and self.responded_at == -math.inf
+
   @property
   def is_lost(self) -> bool:
     """True while no upstream can be reached."""
@@ -72,11 +77,13 @@
       silence_s: Time without a response that is needed for doubt, in seconds.
 
     Returns:
-      True if it is lost, or if several upstreams and no other one have been
-      silent for a while.
+      True if it is lost or unknown, or if several upstreams and no other one
+      have been silent for a while.
     """
     if self.is_lost:
       return True
+    if self.is_unknown:
+      return bool(upstreams)
     if now - self.responded_at < silence_s or now < self.trusted_until:
       return False
     silent_count = sum(
@@ -96,7 +103,10 @@
       is_reached: True if any of the probed upstreams was reached.
       started_at: Monotonic time of its start; a later response outweighs it.
     """
-    if is_reached:
+    if is_reached and self.is_unknown:
+      # Other than a doubt that proved wrong, it is no reason for trust.
+      self.responded_at = started_at
+    elif is_reached:
       self.lost_at = None
       self.trusted_until = started_at + TRUST_S
     elif self.lost_at is None or not self.is_lost:
@@ -117,13 +127,13 @@
     Args:
       path: What this node knows of its path to the upstreams.
       upstreams: The inventory of upstreams.
-      on_change: Called with True if the path was lost, False if it is back, and
-        with the monotonic time.
+      on_change: Called with True if the path is lost, False if it is there, and
+        with the monotonic time; first when that is known.
     """
     self._path = path
     self._upstreams = upstreams
     self._on_change = on_change
-    self._was_lost = False
+    self._was_lost: bool | None = None  # None while that is unknown
 
   async def run(self) -> None:
     """Checks the path until cancelled."""
@@ -132,8 +142,7 @@
       upstreams = self._upstreams.list_all()
       if self._path.is_doubtful(upstreams, now):
         await self._check(upstreams, now)
-      if self._path.is_lost != self._was_lost:
-        self._was_lost = self._path.is_lost
+      if not self._path.is_unknown and self._path.is_lost != self._was_lost:
         self._process_change(upstreams, clock.read_monotonic())
       await anyio.sleep(CHECK_PERIOD_S)
 
@@ -149,17 +158,20 @@
   def _process_change(
     self, upstreams: list[inventory.Upstream], now: Seconds
   ) -> None:
-    """Logs and announces that the path was lost, or is back."""
+    """Announces that the path is lost or there; logs what is no usual start."""
+    is_start = self._was_lost is None
+    self._was_lost = self._path.is_lost
     event = (
       events.UPSTREAMS_UNREACHABLE
       if self._was_lost
       else events.UPSTREAMS_REACHED
     )
-    event.log(
-      _logger,
-      upstreams=len(upstreams),
-      silent_s=round(min(now - self._path.responded_at, 1e6), 3),
-    )
+    if self._was_lost or not is_start:
+      event.log(
+        _logger,
+        upstreams=len(upstreams),
+        silent_s=round(min(now - self._path.responded_at, 1e6), 3),
+      )
     if not self._was_lost:
       for upstream in upstreams:
         upstream.health.forget_failures()
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -73,6 +73,14 @@
     self.path.record_response(12.1)
     self.assertFalse(self.path.is_lost)
 
+  def test_path_of_a_started_node_is_checked_before_any_request(self):
+    path = reach.Reach()
+    self.assertFalse(path.is_doubtful([], 100.0))
+    self.assertTrue(path.is_doubtful(make_upstreams(5), 100.0))
+    self.assertFalse(path.is_lost)
+    path.record_check(True, started_at=100.0)
+    self.assertFalse(path.is_doubtful(make_upstreams(5), 100.1))
+
   def test_path_is_lost_until_a_probe_succeeds(self):
     self.path.record_check(False, started_at=11.0)
     self.assertTrue(self.path.is_doubtful(make_upstreams(5), 11.0))
@@ -276,6 +284,23 @@
     thread.join()
     self.assertEqual(replies[0].status, 200)
 
+  def test_node_that_starts_while_it_is_cut_off_is_not_listed(self):
+    cut = self.nodes[0]
+    cut.popen.kill()
+    cut.popen.wait()
+    cut.set_cut(True)
+    cut.start()
+    cut.wait_ready()
+    gateways.wait_until(
+      lambda: len(cut.resolve_addresses()) == len(self.nodes) - 1,
+      "the cut node knows the others",
+    )
+    until = time.monotonic() + 1.0
+    while time.monotonic() < until:
+      for node in self.nodes:
+        self.assertNotIn(self.addresses[0], node.resolve_addresses())
+    self.assertEqual(cut.send("/search/x").status, 200)
+
   def test_directory_names_all_nodes_if_none_reaches_upstreams(self):
     self.cut(self.nodes)
     time.sleep(1.0)
