Nodes: a node that has started is known to its neighbours at once

Cause: it took two heartbeat periods until both sides knew that the other is alive. The first heartbeat of a started node was sent before its connection was there, so it was dropped; the neighbour's connection waited up to 1 s before it was opened again; each side sent its part at its next period only. Meanwhile the echo of the former process ran out, so that a started node took all others for dead once more.

Change: the first message on a link waits up to 0.25 s for the connection; a node that hears from one that has started, or was not alive, answers at once, on a new link if the process is another one; a node that learns of others by the store sends them its heartbeat at once; the pause between attempts to connect grows to 0.25 s at most.

Tests: tests.test_coordinator.GreetingTest; before, nothing is sent.

--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Iterable
+import math
 import random
 from typing import Any
 
@@ -36,6 +37,7 @@
 MAX_REMOVAL_CONTACT_AGE_S = 8.0
 # Nodes without hubs are many, and should not remove the same entries at once.
 MAX_SPOKE_REMOVAL_RANK = 16
+MIN_GREETING_PAUSE_S = 0.02  # more than a round trip between nodes
 SYNC_RETRY_PAUSE_S = 0.4  # a reply takes a few ms; a lost one needs a retry
 # Covers about the retry window of 10 s plus the stop limit of 6 s.
 SHARE_WINDOW_S = 15.0
@@ -77,6 +79,7 @@
     self._gateway = gateway
     self._seeds = seeds
     self._sync_requested_at = 0.0
+    self._greeted_at: dict[str, Seconds] = {}
     self._recent_members: dict[str, tuple[membership.Member, Seconds]] = {}
     self._recent_shares: collections.deque[tuple[Seconds, float]] = (
       collections.deque()
@@ -103,8 +106,8 @@
   async def run(self) -> None:
     """Sends heartbeats until cancelled.
 
-    Neighbours get one each period; spokes also get one at once when the
-    replica has changed.
+    Neighbours get one each period, new ones at once; spokes also get one at
+    once when the replica has changed.
     """
     due_at = clock.read_monotonic()
     while True:
@@ -112,6 +115,9 @@
       if now >= due_at:
         self._run_periodic_work(now)
         due_at = now + contact.HEARTBEAT_PERIOD_S
+      elif self._update_topology():
+        self._update_connections()
+        self._send_heartbeats(self._topology.neighbours, now)
       else:
         self._send_heartbeats(self._topology.receivers, now)
       update_event = self._replica.update_event
@@ -263,25 +269,38 @@
     if not self._replica.revision:
       self._request_sync(self._network.list_linked(), now)
 
-  def _update_topology(self) -> None:
-    """Plans the topology again if the known nodes have changed."""
+  def _update_topology(self) -> bool:
+    """Plans the topology again if the known nodes have changed.
+
+    Returns:
+      True if they have.
+    """
     others = self._members.list_others()
     inputs = tuple((m.node, m.zone, m.capacity) for m in others)
-    if inputs != self._last_topology_inputs:
-      self._last_topology_inputs = inputs
-      self._topology = topology.plan_topology(self._members.own_member, others)
+    if inputs == self._last_topology_inputs:
+      return False
+    self._last_topology_inputs = inputs
+    self._topology = topology.plan_topology(self._members.own_member, others)
+    return True
 
   def _handle_heartbeat(
     self, sender: str, heartbeat: messages.Heartbeat, now: Seconds
   ) -> None:
     if heartbeat.node != sender or sender == self._members.own_member.node:
       return
+    was_alive = self._members.is_alive(sender, now)
+    is_known = self._members.get_echo(sender) is not None
     self._members.record_heartbeat(heartbeat, self._replica.revision)
     for status in heartbeat.rollouts:
       self._gateway.rollouts.merge_status(status, now)
     if heartbeat.entry_addresses:
       self._directory.record_report(sender, heartbeat.entry_addresses)
     self._network.connect(sender, heartbeat.peer_address)
+    has_restarted = is_known and heartbeat.echo is None
+    if has_restarted:
+      self._network.renew(sender)
+    if not was_alive or heartbeat.echo is None:
+      self._greet(sender, now)
     if heartbeat.echo is None:
       self._crash_reports.greet(sender, now)
     age_s = self._members.get_own_store_contact_age(now)
@@ -289,6 +308,15 @@
     if is_stale and heartbeat.config_revision > self._replica.revision:
       self._request_sync([sender], now)
 
+  def _greet(self, node: str, now: Seconds) -> None:
+    """Answers a node that has started or returned, not at the next period.
+
+    Each then knows with one round trip that the other is alive.
+    """
+    if now - self._greeted_at.get(node, -math.inf) >= MIN_GREETING_PAUSE_S:
+      self._greeted_at[node] = now
+      self._network.send(node, self._make_heartbeat(node, now))
+
   def _handle_version_counts(
     self, sender: str, samples: messages.Samples, now: Seconds
   ) -> None:
--- a/packages/peers/src/bronzefold/peers/links.py
+++ b/packages/peers/src/bronzefold/peers/links.py
@@ -34,6 +34,7 @@
 # A node that leaves has sent its last replies when its registration ends; they
 # arrive on another connection than the news of that.
 _LAST_REPLIES_WAIT_S = 0.3
+_FIRST_SEND_WAIT_S = 0.25  # a connection takes a few ms
 
 _logger = logging.getLogger(__name__)
 
@@ -142,6 +143,7 @@
     self._outgoing: list[Any] = []
     self._wake = anyio.Event()
     self._scope = anyio.CancelScope()
+    self._is_new = True
     self.control_bytes_sent = 0
     self._socket = context.socket(zmq.PUSH)
     # Without a connection a send fails at once instead of being queued.
@@ -149,7 +151,7 @@
     self._socket.setsockopt(zmq.LINGER, 0)
     self._socket.setsockopt(zmq.SNDHWM, _SEND_QUEUE_FRAMES)
     self._socket.setsockopt(zmq.RECONNECT_IVL, 100)
-    self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+    self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, 250)
     self._socket.setsockopt(zmq.HEARTBEAT_IVL, _ZMQ_HEARTBEAT_PERIOD_MS)
     self._socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _ZMQ_HEARTBEAT_TIMEOUT_MS)
     self._socket.connect(f"tcp://{address}")
@@ -176,6 +178,8 @@
   async def _send_frame(self, contents: list[Any]) -> None:
     parts = self._codec.encode(contents)
     try:
+      if self._is_new:
+        await self._wait_until_connected()
       await self._socket.send_multipart(parts, flags=zmq.NOBLOCK)
     except zmq.ZMQError:
       for message in contents:
@@ -183,6 +187,15 @@
       return
     self._count_control_bytes(contents, parts)
 
+  async def _wait_until_connected(self) -> None:
+    """Waits until the first message can be sent, but not for long.
+
+    Later messages fail at once while there is no connection.
+    """
+    self._is_new = False
+    timeout_ms = int(_FIRST_SEND_WAIT_S * 1e3)
+    await self._socket.poll(timeout_ms, zmq.POLLOUT)
+
   def _count_control_bytes(
     self, contents: list[Any], parts: list[bytes]
   ) -> None:
@@ -295,6 +308,19 @@
     if pending_calls:
       self._tasks.start_soon(self._fail_calls_later, pending_calls)
 
+  def renew(self, node: str) -> None:
+    """Opens a new link to a node that has restarted, in place of the old one.
+
+    The old one may still be waiting to connect again.
+
+    Args:
+      node: Name of the node.
+    """
+    address = self._addresses.get(node)
+    if address is not None:
+      self.disconnect(node)
+      self.connect(node, address)
+
   async def _fail_calls_later(self, pending_calls: list[_PendingCall]) -> None:
     """Ends calls whose link was closed, if they get no reply."""
     await anyio.sleep(_LAST_REPLIES_WAIT_S)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -1,9 +1,11 @@
 """What a node of a large fleet sends to its hubs, without a network."""
 
+import asyncio
 import types
 import unittest
 
 import anyio
+import attrs
 
 from bronzefold.core import clock
 from bronzefold.core import evidence
@@ -22,10 +24,17 @@
 
   def __init__(self):
     self.sent = []
+    self.renewed = []
 
   def send(self, node, message):
     self.sent.append((node, message))
 
+  def connect(self, node, address):
+    """Opens no link."""
+
+  def renew(self, node):
+    self.renewed.append(node)
+
   def update_links(self, addresses, seeds):
     """Opens no links."""
 
@@ -33,8 +42,8 @@
     return []
 
 
-class VersionCountsTest(unittest.IsolatedAsyncioTestCase):
-  """A spoke that counts responses of a version in rollout."""
+class SpokeTest(unittest.TestCase):
+  """A spoke of a large fleet."""
 
   def setUp(self):
     fleet = test_topology.make_fleet(64, 8)
@@ -76,6 +85,10 @@
       other.make_heartbeat(own_name, 0.0, 0, 0, now), 0
     )
 
+
+class VersionCountsTest(unittest.IsolatedAsyncioTestCase, SpokeTest):
+  """A spoke that counts responses of a version in rollout."""
+
   async def list_receivers(self):
     """Runs one heartbeat period; returns who got the counts."""
     with anyio.move_on_after(0.1):
@@ -99,5 +112,42 @@
     self.assertEqual(len(await self.list_receivers()), 1)
 
 
+class GreetingTest(SpokeTest):
+  """A node that hears from one that has started or returned."""
+
+  def receive(self, member, echo):
+    """Handles a heartbeat; returns to whom heartbeats are sent at once."""
+    self.network.sent.clear()
+    other = membership.Membership(member, 2.0, 1.3)
+    heartbeat = other.make_heartbeat("n", 0.0, 0, 0, clock.read_monotonic())
+    message = attrs.evolve(heartbeat, echo=echo)
+    asyncio.run(self.fleet.handle_message(member.node, message))
+    return [
+      node
+      for node, sent in self.network.sent
+      if isinstance(sent, messages.Heartbeat)
+    ]
+
+  def test_started_node_is_answered_at_once(self):
+    hub = self.hubs[0]
+    self.assertEqual(self.receive(hub, None), [hub.node])
+
+  def test_link_to_a_restarted_node_is_renewed(self):
+    hub = self.hubs[0]
+    self.hear(hub)
+    self.assertEqual(self.receive(hub, None), [hub.node])
+    self.assertEqual(self.network.renewed, [hub.node])
+
+  def test_node_that_was_silent_is_answered_at_once(self):
+    hub = self.hubs[0]
+    echo = clock.read_monotonic()
+    self.assertEqual(self.receive(hub, echo), [hub.node])
+
+  def test_node_that_is_alive_is_answered_at_the_next_period(self):
+    hub = self.hubs[0]
+    self.hear(hub)
+    self.assertEqual(self.receive(hub, clock.read_monotonic()), [])
+
+
 if __name__ == "__main__":
   unittest.main()
