Links: skip a message of another build alone, not with its frame

Beside nodes of another build, changes of the store and heartbeats that share a frame with a message the receiver does not know were lost, each time.

Cause: a frame was refused whole when one of its messages had an unknown name or a malformed body.

Change: such a message is left out, counted, and logged once for each node and type (event 301). Frames with a wrong signature or shape are refused as before.

Test: test_messages_beside_one_of_another_build_are_delivered; before: 'PeerFrameError: unknown message type' for the whole frame.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -113,6 +113,12 @@
   logging.WARNING,
   "A frame is malformed or not from a node of the fleet.",
 )
+MESSAGE_SKIPPED = _register(
+  301,
+  "message_skipped",
+  logging.WARNING,
+  "A message of another node cannot be decoded; logged once a type and node.",
+)
 SETTINGS_RELOADED = _register(
   106, "settings_reloaded", logging.INFO, "The settings file was reloaded."
 )
--- a/packages/peers/src/bronzefold/peers/links.py
+++ b/packages/peers/src/bronzefold/peers/links.py
@@ -34,6 +34,7 @@
 # A node that leaves has sent its last replies when its registration ends; they
 # arrive on another connection than the news of that.
 _LAST_REPLIES_WAIT_S = 0.3
+_MAX_LOGGED_SKIPS = 1000
 _FIRST_SEND_WAIT_S = 0.25  # a connection takes a few ms
 
 _logger = logging.getLogger(__name__)
@@ -41,6 +42,19 @@
 MessageHandler = Callable[[str, Any], Awaitable[None]]
 
 
+@attrs.frozen
+class SkippedMessage:
+  """A message that cannot be decoded, such as one of a later build.
+
+  Attributes:
+    name: Name of its type.
+    reason: Why it cannot be decoded.
+  """
+
+  name: bytes
+  reason: str
+
+
 @attrs.frozen
 class Frame:
   """Messages that a node sent together.
@@ -48,10 +62,12 @@
   Attributes:
     sender: Name of the node.
     contents: The messages.
+    skipped: Messages that were left out.
   """
 
   sender: str
   contents: tuple[Any, ...]
+  skipped: tuple[SkippedMessage, ...] = ()
 
 
 class FrameCodec:
@@ -77,7 +93,9 @@
     return [self._sign(parts), *parts]
 
   def decode(self, parts: list[bytes]) -> Frame:
-    """Decodes a frame.
+    """Decodes a frame; messages that cannot be decoded are left out.
+
+    Nodes of an earlier and a later build run side by side during an upgrade.
 
     Args:
       parts: The parts of the frame.
@@ -100,11 +118,14 @@
       )
     if not hmac.compare_digest(digest, self._sign(parts[1:])):
       raise exceptions.PeerFrameError("frame has a wrong signature")
-    contents = tuple(
-      messages.decode_message(name, encoded)
-      for name, encoded in zip(body[::2], body[1::2], strict=True)
-    )
-    return Frame(node.decode(errors="replace"), contents)
+    contents: list[Any] = []
+    skipped: list[SkippedMessage] = []
+    for name, encoded in zip(body[::2], body[1::2], strict=True):
+      try:
+        contents.append(messages.decode_message(name, encoded))
+      except exceptions.PeerFrameError as error:
+        skipped.append(SkippedMessage(name, error.detail))
+    return Frame(node.decode(errors="replace"), tuple(contents), tuple(skipped))
 
   def _sign(self, parts: list[bytes]) -> bytes:
     digest = hashlib.blake2b(key=self._key, digest_size=_DIGEST_BYTES)
@@ -218,6 +239,7 @@
 
   Attributes:
     refused_frames: Count of the received frames that were refused.
+    skipped_messages: Count of the received messages that were skipped.
   """
 
   def __init__(
@@ -246,6 +268,8 @@
     self._receiver.bind(f"tcp://{bind_address}")
     self._closed_links_control_bytes = 0
     self.refused_frames = 0
+    self.skipped_messages = 0
+    self._logged_skips: set[tuple[str, bytes]] = set()
 
   @property
   def control_bytes_sent(self) -> int:
@@ -412,12 +436,25 @@
       self.refused_frames += 1
       events.FRAME_REFUSED.log(_logger, reason=error.detail)
       return
+    for message in frame.skipped:
+      self._record_skipped(frame.sender, message)
     for message in frame.contents:
       if type(message) in messages.REPLY_TYPES:
         self._deliver_reply(frame.sender, message)
       else:
         self._tasks.start_soon(self._handler, frame.sender, message)
 
+  def _record_skipped(self, sender: str, message: SkippedMessage) -> None:
+    """Counts a skipped message; logs the first of each node and type."""
+    self.skipped_messages += 1
+    key = (sender, message.name)
+    if (
+      key in self._logged_skips or len(self._logged_skips) >= _MAX_LOGGED_SKIPS
+    ):
+      return
+    self._logged_skips.add(key)
+    events.MESSAGE_SKIPPED.log(_logger, sender=sender, reason=message.reason)
+
   def _deliver_reply(self, sender: str, reply: Any) -> None:
     pending_call = self._pending_calls.get(reply.request)
     # A reply after the end of its call or from another node is dropped.
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -75,6 +75,15 @@
       self.assertEqual(heartbeat.config_revision, 7)
       self.assertEqual(heartbeat.rollouts, ())
 
+  def test_messages_beside_one_of_another_build_are_delivered(self):
+    parts = self.codec.encode(self.contents)
+    for name, body in ((b"of_a_later_build", b"\x80"), (b"cancel", b"\xc1")):
+      with self.subTest(name=name):
+        mixed = [*parts[1:5], name, body, *parts[5:]]
+        frame = self.codec.decode([self.codec._sign(mixed), *mixed])
+        self.assertEqual(list(frame.contents), self.contents)
+        self.assertEqual([skipped.name for skipped in frame.skipped], [name])
+
   def test_unknown_and_malformed_messages_are_refused(self):
     for name, body in (
       (b"none", b""),
