Rollouts: collect no counts once a version is done, and judge no idle service

Found by reading: a node that starts after 'done' put the version on probation and kept all counts of the other versions from then on, without bound if the new one got no requests. A node that started in the middle of the rollout of an idle service, while the store took no record, would have rolled it back after twice its duration. A status told 'shifted' to a node that knew the rollout to be done.

Tests: test_rollout_that_is_done_collects_no_counts, test_started_node_does_not_roll_back_an_idle_service.

--- a/packages/gateway/src/bronzefold/gateway/rollouts.py
+++ b/packages/gateway/src/bronzefold/gateway/rollouts.py
@@ -288,11 +288,14 @@
     if rollout.order.revision != status.revision:
       return
     rollout.ordered_at = min(rollout.ordered_at, now - status.age_s)
-    if self.get_state(status.service) is RolloutState.ROLLED_BACK:
-      return
-    if status.is_shifted and rollout.shifted_at is None:
+    state = self.get_state(status.service)
+    if (
+      status.is_shifted
+      and rollout.shifted_at is None
+      and state is RolloutState.RUNNING
+    ):
       self._shift(rollout, now)
-    if status.regression:
+    if status.regression and state is not RolloutState.ROLLED_BACK:
       self._record_regression(rollout, status.regression, now)
 
   def filter_upstreams(
@@ -351,9 +354,11 @@
     is_on_probation = _is_on_probation(rollout)
     if state is not RolloutState.RUNNING and not is_on_probation:
       return
-    if is_on_probation and not _is_own_answer(attempt):
-      return
     version = attempt.upstream.instance.version
+    if is_on_probation and (
+      version != rollout.order.version or not _is_own_answer(attempt)
+    ):
+      return
     counts = _classify_attempt(rollout, attempt, route, version, now)
     if counts is None:
       return
@@ -468,16 +473,20 @@
     now: Seconds,
   ) -> None:
     """Adds counts and checks the new version for a regression."""
-    if rollout.final_state is not None or _has_shifted(rollout, now):
+    is_new = version == rollout.order.version
+    if rollout.final_state is not None:
+      if is_new and _is_on_probation(rollout):
+        rollout.proof_counts.add(counts)
+        self._judge_probation(rollout, now)
+      return
+    if _has_shifted(rollout, now):
       rollout.observed_counts.keep()
-      if version == rollout.order.version:
+      if is_new:
         rollout.proof_counts.add(counts)
     rollout.observed_counts.record(version, route, counts, now)
     has_bad_attempts = counts.failed or counts.slow
-    if not has_bad_attempts or version != rollout.order.version:
+    if not has_bad_attempts or not is_new:
       return
-    if _is_on_probation(rollout):
-      self._judge_probation(rollout, now)
     if self.get_state(rollout.order.service) is not RolloutState.RUNNING:
       return
     other_versions = rollout.observed_counts.list_versions() - {version}
@@ -609,6 +618,8 @@
 
 def _must_end(rollout: Rollout, now: Seconds) -> bool:
   """True if a rollout should not wait for further proof."""
+  if not rollout.observed_counts.count_all(now):
+    return False
   elapsed_s = now - rollout.ordered_at
   had_its_chance = (
     rollout.proof_counts.total > 0
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -361,6 +361,23 @@
       [rollouts.RolloutState.RUNNING],
     )
 
+  def test_started_node_does_not_roll_back_an_idle_service(self):
+    started = rollouts.Rollouts()
+    started.set_order(ORDER, 20.0)
+    started.merge_status(self.rollouts.list_statuses(20.4)[0], 20.4)
+    started.advance(61.0)
+    self.assertIs(started.get_state("s"), rollouts.RolloutState.RUNNING)
+
+  def test_rollout_that_is_done_collects_no_counts(self):
+    self.rollouts.set_record(
+      rollouts.RolloutRecord("s", "v2", rollouts.RolloutState.DONE, 9)
+    )
+    for _ in range(3):
+      self.rollouts.record_attempt(
+        make_attempt(OLD, sending.Outcome.SERVED, 40.0), "r", 40.01
+      )
+    self.assertEqual(self.rollouts.pop_unsent_counts(), [])
+
 
 class StatusTest(unittest.TestCase):
   """Nodes agree on where a rollout stands."""
