Tests: send deadly requests to nodes that have been up for a while

Five of the seven tests failed on an idle machine (2 crashed upstreams where 6 are due, no quarantine within 10 s) and passed beside load.

Cause, by the log of such a test: 'withheld: upstreams crashed: 6', two of six shards were tried. A node that has started sends the first parts of a search to a few shards for 2 s (START_ALERT_S), since others may know of crashes. The tests need that to be over and did not say so: the set-up took longer than that, until nodes that have started got to know each other at once.

The set-up now waits START_ALERT_S; all checks are as they were.

--- a/tests/test_deadly.py
+++ b/tests/test_deadly.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+from bronzefold.core import quarantine
 from tests import gateways
 from tests.standins import site as sites
 
@@ -41,6 +42,8 @@
         lambda node=node: set(node.resolve_addresses()) == addresses,
         "all nodes",
       )
+    # A node that has started sends to a few shards first.
+    time.sleep(quarantine.START_ALERT_S)
 
   def add_upstream(self, instance, service, deadly_target):
     self.site.add_upstream(
