--- a/review/harness.py
+++ b/review/harness.py
@@ -180,8 +180,8 @@
     self.front, self.ready, control, directory, self.metrics, peer = ports
     self.peer_port = peer_port or peer
     self.control = f"{ip}:{control}"
-    settings_path = folder / "boot.toml"
-    settings_path.write_text(
+    self._settings_path = folder / "boot.toml"
+    self._settings_path.write_text(
       SETTINGS.format(
         name=name,
         ip=ip,
@@ -200,22 +200,42 @@
     self.log_path = folder / "log"
     deployment = tomllib.loads((ROOT / "deploy/system.toml").read_text())
     role = deployment["roles"]["node"]
-    environment = {
+    self._command = role["run"].split(" ")
+    self._environment = {
       name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
     }
-    environment.update(role["env"])
-    environment["BRONZEFOLD_METRICS_PORT"] = str(self.metrics)
-    environment["BRONZEFOLD_CONFIG"] = str(settings_path)
-    environment["PYTHONPATH"] = str(DEPENDENCIES)
+    self._environment.update(role["env"])
+    self._environment["BRONZEFOLD_METRICS_PORT"] = str(self.metrics)
+    self._environment["BRONZEFOLD_CONFIG"] = str(self._settings_path)
+    self._environment["PYTHONPATH"] = str(DEPENDENCIES)
+    self.start()
+
+  def start(self) -> None:
+    """Starts the process; used again after it has ended."""
     with self.log_path.open("ab") as stream:
       self.process = subprocess.Popen(
-        role["run"].split(" "),
+        self._command,
         stdout=stream,
         stderr=stream,
         cwd=ROOT,
-        env=environment,
+        env=self._environment,
       )
 
+  def change_settings(self) -> None:
+    """Changes the settings file: a little more slack for retries."""
+    text = self._settings_path.read_text(encoding="utf-8")
+    changed = text.replace("retrySlack = 56", "retrySlack = 57")
+    self._settings_path.write_text(changed, encoding="utf-8")
+
+  def read_memory_kb(self) -> int:
+    """Returns the resident memory of the process; 0 if it has ended."""
+    try:
+      text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+    except OSError:
+      return 0
+    lines = [line for line in text.splitlines() if line.startswith("VmRSS:")]
+    return int(lines[0].split()[1]) if lines else 0
+
   def is_ready(self) -> bool:
     """True if the readiness check passes."""
     connection = http.client.HTTPConnection(self.ip, self.ready, timeout=1)
