Send a refused request again on another connection only

What callers saw: a request that may run at most once was answered 503, which promises that it did not run, and its upstream ran it (REFUSED). A caller that repeats it then has it run twice.

Cause: a response is matched to a request by the id that it echoes. An upstream that refused a request gets it again after a pause, mostly on the connection that was used last. A copy of the refusal that comes late on that connection echoes the same id, so it was taken for the response to the second send. Class: a response is matched by a name that is not unique to the exchange.

Change: a request is not sent on a connection that has carried it before; a pool at its limit closes that connection to make room.

Related paths: hedges and retries go to upstreams that were not tried before; relayed requests have an id of their own for each call; on the product's own interface each exchange has a fresh id.

--- a/packages/gateway/src/bronzefold/gateway/fanout.py
+++ b/packages/gateway/src/bronzefold/gateway/fanout.py
@@ -28,6 +28,7 @@
 from bronzefold.gateway import selection
 from bronzefold.gateway import sending
 from bronzefold.gateway import timing
+from bronzefold.upstreams import channel
 
 # Upstreams at whose address nothing listens do not count: they are down then,
 # and each costs one round trip.
@@ -83,6 +84,16 @@
     """True if an attempt has failed or lost its connection."""
     return any(attempt.error is not None for attempt in self.attempts)
 
+  def list_connections(
+    self, upstream: inventory.Upstream
+  ) -> list[channel.Channel]:
+    """Lists the connections to an upstream that have carried the request."""
+    return [
+      attempt.connection
+      for attempt in self.attempts
+      if attempt.upstream is upstream and attempt.connection is not None
+    ]
+
   @property
   def run_count(self) -> int:
     """Number of attempts that ran or may run."""
@@ -678,6 +689,7 @@
       now,
       lambda ended: self._handle_ended_attempt(shard, ended),
       may_use_idle=self._route.is_idempotent and not shard.has_lost,
+      earlier_connections=shard.list_connections(chosen),
     )
     shard.attempts.append(attempt)
 
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 import enum
 import functools
 import itertools
@@ -55,7 +56,7 @@
   def is_response_to(
     self, request: model.Request, raw: channel.RawResponse
   ) -> bool:
-    """True unless the response belongs to another request."""
+    """True if the response names the request; any other one is stray."""
 
   def decode_response(self, raw: channel.RawResponse) -> model.UpstreamResponse:
     """Decodes a response."""
@@ -177,9 +178,14 @@
     on_end: OnEnd,
     *,
     may_use_idle: bool,
+    earlier_connections: Collection[channel.Channel] = (),
   ) -> Attempt:
     """Starts an attempt.
 
+    It is not sent on a connection that has carried the request before: an
+    upstream may repeat its earlier response there, and the id of the request
+    would not distinguish it from the response to this attempt.
+
     Args:
       request: The caller's request.
       upstream: The upstream to send it to.
@@ -188,6 +194,7 @@
       on_end: Called with the attempt once it has ended.
       may_use_idle: False if the connection must be new or in recent use, as
         the upstream may have forgotten one that was idle.
+      earlier_connections: Connections that have carried the request.
 
     Returns:
       The attempt, still pending.
@@ -195,7 +202,9 @@
     attempt = Attempt(upstream, upstream.instance.service, now)
     upstream.health.in_flight[attempt.number] = now
     max_idle_s = math.inf if may_use_idle else defaults.MAX_UNSAFE_IDLE_S
-    idle_connection = upstream.pool.acquire_idle(now, max_idle_s)
+    idle_connection = upstream.pool.acquire_idle(
+      now, max_idle_s, earlier_connections
+    )
     if idle_connection is not None:
       self._send(attempt, idle_connection, request, time_left_s, on_end)
     else:
--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 import math
 
 import attrs
@@ -321,21 +322,38 @@
     return bool(self._idle) or self._in_use < self.limit
 
   def acquire_idle(
-    self, now: Seconds, max_idle_s: Seconds = math.inf
+    self,
+    now: Seconds,
+    max_idle_s: Seconds = math.inf,
+    excluded: Collection[Channel] = (),
   ) -> Channel | None:
     """Removes and returns the idle connection that was used last.
 
     Idle connections that are no longer usable are closed. If the best one has
-    been idle for too long, it is closed to make room for a new one.
+    been idle for too long, or none but excluded ones are left and the limit is
+    reached, it is closed to make room for a new one.
 
     Args:
       now: Monotonic time.
       max_idle_s: Longest time for which the connection may have been idle, in
         seconds.
+      excluded: Connections that must not be returned.
 
     Returns:
       The connection, None if none is idle that may be used.
     """
+    if not excluded:
+      return self._pop_usable(now, max_idle_s)
+    left_out = [channel for channel in self._idle if channel in excluded]
+    self._idle = [item for item in self._idle if item not in excluded]
+    acquired = self._pop_usable(now, max_idle_s)
+    self._idle += left_out
+    is_full = len(self._idle) + self._in_use >= self.limit
+    if acquired is None and left_out and is_full:
+      self._idle.pop().close()
+    return acquired
+
+  def _pop_usable(self, now: Seconds, max_idle_s: Seconds) -> Channel | None:
     while self._idle:
       channel = self._idle.pop()
       is_usable = (
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -171,6 +171,15 @@
       headers["Server-Limit"] = self.rate_limit
     return format_response(status, headers, self.body if body is None else body)
 
+  def make_refusal(self, request: ReceivedRequest, status: int) -> bytes:
+    """Returns a complete response to a request that was not executed."""
+    headers = {
+      "Bronzefold-Request-Id": request.headers["bronzefold-request-id"],
+      "Bronzefold-Not-Executed": "1",
+      "Bronzefold-Instance-Id": self.id,
+    }
+    return format_response(status, headers)
+
   async def serve(
     self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
   ) -> None:
@@ -206,7 +215,7 @@
     """
     expected = request.headers.get("bronzefold-expect-instance")
     if expected != self.id:
-      writer.write(format_response(421, {"Bronzefold-Instance-Id": self.id}))
+      writer.write(self.make_refusal(request, 421))
       return True
     if self.behaviour not in NOT_EXECUTING:
       await self.execute(request, writer)
@@ -262,8 +271,7 @@
 
 @register_behaviour("shed")
 def _shed(upstream: Upstream, request: ReceivedRequest) -> UpstreamOutput:
-  del upstream, request
-  return UpstreamOutput(format_response(503, {"Bronzefold-Not-Executed": "1"}))
+  return UpstreamOutput(upstream.make_refusal(request, 503))
 
 
 @register_behaviour("shed first")
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -30,7 +30,7 @@
     self.may_use_idle = []
 
   def start(
-    self, request, upstream, _time_left_s, now, on_end, *, may_use_idle
+    self, request, upstream, _time_left_s, now, on_end, *, may_use_idle, **_
   ):
     self.may_use_idle.append(may_use_idle)
     upstream.pool.reserve()
