Handle signals from the first import to the exit of a process

A node that got SIGHUP as it started was gone and had to start again.

Cause: the receiver of signals was left on SIGTERM, which gives SIGHUP, SIGTERM and SIGINT back their default actions during the stop. They also had them during the imports, and while the interpreter exits. The product's own interface had the last two gaps, and SIGHUP ended its nodes at any time.

Change: bronzefold.signals, which imports nothing but small modules of the standard library, records signals from the first import on; the event loop handles them until it ends, and then they are ignored until the process has exited. The first SIGTERM or SIGINT starts the stop, further ones have no effect; one that comes before the node listens ends it with code 0. Event 109 names each signal. The entry point of the command is a module of its own.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -149,6 +149,9 @@
   logging.WARNING,
   "The node stopped sending traffic to a version with a regression.",
 )
+SIGNAL_RECEIVED = _register(
+  109, "signal_received", logging.INFO, "The process has received a signal."
+)
 ACCEPT_FAILED = _register(
   108,
   "accept_failed",
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -17,6 +17,7 @@
 import uvicorn
 
 from bronzefold import peers
+from bronzefold import signals
 from bronzefold import store
 from bronzefold.core import clock
 from bronzefold.core import events
@@ -37,6 +38,7 @@
 from bronzefold.gateway import settings
 from bronzefold.gateway import writer
 from bronzefold.peers import membership
+from bronzefold.signals import receiver
 
 STORE_TIMEOUT_S = 1.0  # 250 times a typical response time
 # Callers cache the directory, which lists this node, for 1 s, some for 3 s.
@@ -83,6 +85,7 @@
     self,
     adapter: PlatformAdapter,
     node_settings: settings.GatewaySettings,
+    signal_queue: signals.SignalQueue,
     tasks: abc.TaskGroup,
   ) -> None:
     """Creates a node; ``run`` serves.
@@ -90,9 +93,11 @@
     Args:
       adapter: Formats of the platform.
       node_settings: Settings of this node.
+      signal_queue: Signals of this process.
       tasks: Task group for background work.
     """
     self._adapter = adapter
+    self._signals = signal_queue
     self._settings = node_settings
     self._tasks = tasks
     self._gateway = gateways.Gateway(
@@ -158,7 +163,7 @@
     self._members.set_state(membership.SERVING)
     self._tasks.start_soon(self._network.run, self._tasks)
     self._tasks.start_soon(supervision.supervise, self._fleet.run)
-    self._tasks.start_soon(self._handle_signals)
+    self._tasks.start_soon(supervision.supervise, self._handle_signals)
     self._tasks.start_soon(supervision.supervise, self._follower.run)
     self._tasks.start_soon(supervision.supervise, self._registrar.run)
     self._tasks.start_soon(supervision.supervise, self._writer.run)
@@ -173,15 +178,12 @@
     await supervision.run_guarded(handle)
 
   async def _handle_signals(self) -> None:
-    with anyio.open_signal_receiver(
-      signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as received:
-      async for number in received:
-        if number == signal.SIGHUP:
-          self._reload_settings()
-        else:
-          break
-    await self._leave()
+    """Handles signals until the process exits, also during a stop."""
+    async for number in receiver.receive_signals(self._signals):
+      if number == signal.SIGHUP:
+        self._reload_settings()
+      elif not self._application.is_leaving:
+        self._start_leaving()
 
   async def _finish_relayed(self) -> None:
     """Waits for requests of other nodes, which come over no caller connection.
@@ -213,7 +215,7 @@
     self._gateway.update_settings(node_settings)
     events.SETTINGS_RELOADED.log(_logger, node=node_settings.node)
 
-  async def _leave(self) -> None:
+  def _start_leaving(self) -> None:
     """Leaves the directory at once, and later stops accepting requests."""
     now = clock.read_monotonic()
     cut_at = now + max(
@@ -225,6 +227,9 @@
     self._gateway.answer_by = cut_at - ANSWER_MARGIN_S
     self._application.is_leaving = True
     self._registrar.leave()
+    self._tasks.start_soon(self._shut_down, cut_at)
+
+  async def _shut_down(self, cut_at: clock.Seconds) -> None:
     await anyio.sleep(DIRECTORY_CACHE_WAIT_S)
     self._server.request_shutdown(cut_at)
 
@@ -267,22 +272,27 @@
 
 
 async def _run(
-  adapter: PlatformAdapter, node_settings: settings.GatewaySettings
+  adapter: PlatformAdapter,
+  node_settings: settings.GatewaySettings,
+  signal_queue: signals.SignalQueue,
 ) -> None:
   # Full collections pause all requests; this makes them short and rare.
   gc.collect()
   gc.freeze()
   gc.set_threshold(*_GC_THRESHOLDS)
   async with anyio.create_task_group() as tasks:
-    await NodeProcess(adapter, node_settings, tasks).run()
+    await NodeProcess(adapter, node_settings, signal_queue, tasks).run()
     tasks.cancel_scope.cancel()
 
 
-def run_node(adapter: PlatformAdapter) -> int:
+def run_node(
+  adapter: PlatformAdapter, signal_queue: signals.SignalQueue
+) -> int:
   """Runs a node until it is stopped.
 
   Args:
     adapter: Formats of the platform.
+    signal_queue: Signals of this process, recorded since it started.
 
   Returns:
     The exit code: 0 after a graceful stop, 2 for invalid settings.
@@ -295,5 +305,13 @@
     print(error.detail, file=sys.stderr)
     return _EXIT_BAD_SETTINGS
   handler.node = node_settings.node
-  anyio.run(_run, adapter, node_settings, backend_options={"use_uvloop": True})
+  if not signal_queue.has_stop:
+    anyio.run(
+      _run,
+      adapter,
+      node_settings,
+      signal_queue,
+      backend_options={"use_uvloop": True},
+    )
+  signal_queue.ignore()
   return 0
--- a/packages/node/src/bronzefold/node/__init__.py
+++ b/packages/node/src/bronzefold/node/__init__.py
@@ -1,5 +1,4 @@
-"""The node process."""
+"""The node process.
 
-from bronzefold.node.node import Node
-
-__all__ = ["Node"]
+Imports nothing, so that ``command`` captures signals before anything else.
+"""
--- a/packages/node/src/bronzefold/node/main.py
+++ b/packages/node/src/bronzefold/node/main.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+import functools
 import gc
 import logging
 import pathlib
-import signal
 import sys
 
 from absl import app
 from absl import flags
 import anyio
 
+from bronzefold import signals
 from bronzefold.core import exceptions
 from bronzefold.core import settings
 from bronzefold.node import node
+from bronzefold.signals import receiver
 
 _EXIT_BAD_SETTINGS = 2
 _GC_THRESHOLDS = (20_000, 20, 50)
@@ -33,16 +35,21 @@
 )
 
 
-async def _run_until_signal(created_node: node.Node) -> None:
+async def _run_until_signal(
+  created_node: node.Node, signal_queue: signals.SignalQueue
+) -> None:
   async with anyio.create_task_group() as tasks:
-    tasks.start_soon(_stop_on_signal, created_node)
+    tasks.start_soon(_stop_on_signal, created_node, signal_queue)
     await created_node.run()
     tasks.cancel_scope.cancel()
 
 
-async def _stop_on_signal(created_node: node.Node) -> None:
-  with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-    async for _ in received:
+async def _stop_on_signal(
+  created_node: node.Node, signal_queue: signals.SignalQueue
+) -> None:
+  """Stops a node on a signal; SIGHUP has no effect."""
+  async for number in receiver.receive_signals(signal_queue):
+    if number in signals.STOPPING:
       created_node.stop()
 
 
@@ -55,9 +62,12 @@
   )
 
 
-def main(_: list[str]) -> int:
+def main(_: list[str], signal_queue: signals.SignalQueue) -> int:
   """Runs a node until a signal stops it.
 
+  Args:
+    signal_queue: Signals of this process.
+
   Returns:
     The exit code: 0 after a graceful stop, 2 for invalid settings.
   """
@@ -66,10 +76,17 @@
     node_settings = settings.load_settings(pathlib.Path(_SETTINGS.value))
     if _CHECK.value:
       return 0
-    anyio.run(_run_node, node_settings, backend_options={"use_uvloop": True})
+    if not signal_queue.has_stop:
+      anyio.run(
+        _run_node,
+        node_settings,
+        signal_queue,
+        backend_options={"use_uvloop": True},
+      )
   except exceptions.SettingsError as error:
     print(error.detail, file=sys.stderr)
     return _EXIT_BAD_SETTINGS
+  signal_queue.ignore()
   return 0
 
 
@@ -80,12 +97,18 @@
   gc.set_threshold(*_GC_THRESHOLDS)
 
 
-async def _run_node(node_settings: settings.Settings) -> None:
+async def _run_node(
+  node_settings: settings.Settings, signal_queue: signals.SignalQueue
+) -> None:
   _tune_garbage_collector()
-  await _run_until_signal(node.Node(node_settings))
+  await _run_until_signal(node.Node(node_settings), signal_queue)
+
 
+def run(signal_queue: signals.SignalQueue) -> None:
+  """Runs the command.
 
-def run() -> None:
-  """Entry point of the command."""
+  Args:
+    signal_queue: Signals of this process, recorded since it started.
+  """
   flags.mark_flag_as_required("settings")
-  app.run(main)
+  app.run(functools.partial(main, signal_queue=signal_queue))
--- a/tests/cut_owner.py
+++ b/tests/cut_owner.py
@@ -9,6 +9,7 @@
 
 from expression import Error
 
+from bronzefold import signals
 from bronzefold.core import exceptions
 from bronzefold.node import main
 from bronzefold.upstreams import connection
@@ -27,4 +28,4 @@
 
 if __name__ == "__main__":
   connection.UpstreamConnection._send_request = send_unless_cut
-  main.run()
+  main.run(signals.capture_signals())
