Take only sealed responses for those of an upstream

What callers saw: noise as a whole 200 without a seal (MIXED), mostly for actions. A 404 of nobody, which ends a caller's tries, and a 503 for an action that ran passed the same way (REFUSED, DENIED).

Cause: a whole response that was no sealed success counted as a failure of the upstream, and failures were passed on with their status. Class: input is trusted for its form where it carries a proof of its origin.

Change: a response has to have exactly one seal of a body as it is, or to say that the request did not run; else it is malformed, and the request may have run. Sealed failures never promise "not run" to callers. A body without a length that this node cuts off is not whole. Successes without seals that another node relays become 502.

Own interface: a reply without x-instance and the reply to an action that is not JSON are malformed.

--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -42,6 +42,8 @@
 # A node whose upstreams have been silent for so long takes no requests from
 # others; half of ``reach.SILENCE_S``, as it may not know of a cut yet.
 MAX_RELAY_SILENCE_S = 0.12
+# Statuses that promise callers that a request did not run.
+_PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 # Refusals for want of upstreams, whose return is estimated.
 _UNSERVED_OUTCOMES = frozenset({"coverage_too_small", "not_run"})
 # Outcomes of requests that were sent and got no response.
@@ -629,7 +631,10 @@
     a for a in shard.attempts if a.outcome is sending.Outcome.FAILED
   ]
   if failed_attempts:
-    return _relay_response(failed_attempts[-1].response, "upstream_failed")
+    response = failed_attempts[-1].response
+    if response.status in _PROMISING_STATUSES:
+      return model.Response(502, outcome="upstream_failed")
+    return _relay_response(response, "upstream_failed")
   if not shard.may_have_run:
     if fan_out.token_wait_s:
       return _make_rate_limit_refusal(fan_out)
--- a/packages/gateway/src/bronzefold/gateway/model.py
+++ b/packages/gateway/src/bronzefold/gateway/model.py
@@ -187,7 +187,7 @@
     status: HTTP status.
     headers: Headers to forward to the caller.
     body: The complete body.
-    seal: Signature of the response; empty if it has none.
+    seal: Signature of the response; empty if it has none that is valid.
     did_not_run: True if the upstream states that the request did not run.
     is_misdirected: True if another upstream now has the address.
     rate_limit_per_s: Requests per second that the upstream accepts from all
--- a/packages/gateway/src/bronzefold/gateway/relay.py
+++ b/packages/gateway/src/bronzefold/gateway/relay.py
@@ -152,7 +152,7 @@
       call = RelayedRequest(
         uuid.uuid4().hex, left_s, max_attempts, version, request
       )
-      response = _read_outcome(await self._network.call(node, call))
+      response = read_outcome(await self._network.call(node, call))
       events.REQUEST_RELAYED.log(
         _logger,
         request=request.id.decode("latin-1"),
@@ -185,12 +185,16 @@
       scope.cancel()
 
 
-def _read_outcome(
+def read_outcome(
   outcome: Result[RelayedResponse, exceptions.BronzefoldError],
 ) -> model.Response:
   """Returns the response for the caller, also if none arrived."""
   if outcome.is_ok():
-    return outcome.ok.response
+    response = outcome.ok.response
+    is_success = 200 <= response.status < 300
+    if is_success and not response.seal and not response.seals:
+      return model.Response(502, outcome="answer_lost")
+    return response
   if isinstance(outcome.error, exceptions.NotRunError):
     return model.Response(503, outcome=UNREACHABLE)
   return model.Response(502, outcome="answer_lost")
--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -69,8 +69,8 @@
     PENDING: The attempt has not ended.
     SERVED: The upstream sent a sealed response with status 2xx.
     NOT_RUN: The request certainly did not run.
-    FAILED: The upstream sent any other response.
-    UNKNOWN: No valid response arrived; the request may have run.
+    FAILED: The upstream sent any other sealed response.
+    UNKNOWN: No sealed response arrived; the request may have run.
   """
 
   PENDING = "pending"
@@ -371,7 +371,12 @@
         attempt.upstream.is_replaced = True
       else:
         health.record_refusal(now)
-    elif 200 <= response.status < 300 and response.seal:
+    elif not response.seal:
+      # Bytes that look like a response; the upstream vouches for none of them.
+      error = exceptions.MalformedReplyError("response has no seal")
+      self._record_outcome(attempt, Outcome.UNKNOWN, error=error)
+      health.record_failure(now)
+    elif 200 <= response.status < 300:
       self._record_outcome(attempt, Outcome.SERVED, response=response)
       health.record_success(now - attempt.started_at, now)
     else:
--- a/packages/node/src/bronzefold/node/actions.py
+++ b/packages/node/src/bronzefold/node/actions.py
@@ -19,6 +19,7 @@
 from bronzefold.core import exceptions
 from bronzefold.node import claims
 from bronzefold.node import dispatch
+from bronzefold.node import replies
 from bronzefold.node import routing
 from bronzefold.node import selection
 from bronzefold.node import versions
@@ -235,6 +236,8 @@
       ),
       now,
     )
+    if outcome.is_ok():
+      outcome = replies.check_action_reply(outcome.ok)
     self._version_router.record_exchange(
       action.document,
       upstream.entry.version,
--- a/packages/node/src/bronzefold/node/replies.py
+++ b/packages/node/src/bronzefold/node/replies.py
@@ -83,6 +83,24 @@
   return Ok(parts)
 
 
+def check_action_reply(
+  upstream_reply: dispatch.UpstreamReply,
+) -> Result[dispatch.UpstreamReply, exceptions.BronzefoldError]:
+  """Checks the reply to an action, whose body must be JSON.
+
+  Args:
+    upstream_reply: The reply.
+
+  Returns:
+    The reply, or ``MalformedReplyError``.
+  """
+  try:
+    msgspec.json.decode(upstream_reply.body)
+  except (msgspec.MsgspecError, RecursionError) as error:
+    return Error(exceptions.MalformedReplyError(str(error)))
+  return Ok(upstream_reply)
+
+
 def _covers_expected_shards(
   reply: messages.SearchReply, expected: ExpectedReply
 ) -> bool:
--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -156,7 +156,8 @@
     if self._outcome is None:
       self.reusable = False
       return
-    if exc is None and self._head_complete and not self._has_length:
+    has_ended = exc is None and not self.is_closed_here
+    if has_ended and self._head_complete and not self._has_length:
       self.reusable = False
       self._finish_response()
     self._fail(
--- a/packages/upstreams/src/bronzefold/upstreams/connection.py
+++ b/packages/upstreams/src/bronzefold/upstreams/connection.py
@@ -236,7 +236,7 @@
     started_at: clock.Seconds,
   ) -> Result[Response, exceptions.BronzefoldError]:
     headers = {name.lower(): value for name, value in response.headers}
-    echoed_id = headers.get(messages.REQUEST_ID_HEADER, b"").decode()
+    echoed_id = headers.get(messages.REQUEST_ID_HEADER, b"").decode("latin-1")
     if request_id and echoed_id != request_id:
       # Later responses on this connection may be mismatched as well.
       await self._discard_connection()
@@ -245,6 +245,12 @@
           f"response to {echoed_id!r} received for request {request_id!r}"
         )
       )
+    instance = headers.get(messages.INSTANCE_HEADER, b"").decode("latin-1")
+    if not instance:
+      await self._discard_connection()
+      return Error(
+        exceptions.MalformedReplyError("the reply names no instance")
+      )
     if headers.get(messages.NOT_RUN_HEADER) == b"true":
       if headers.get(messages.DRAINING_HEADER) == b"true":
         return Error(exceptions.UpstreamDrainingError("upstream is draining"))
@@ -255,7 +261,6 @@
           f"upstream responded with status {response.status}"
         )
       )
-    instance = headers.get(messages.INSTANCE_HEADER, b"").decode()
     took_s = clock.read_monotonic() - started_at
     rate_limit_per_s = messages.read_rate_limit(
       headers.get(messages.RATE_LIMIT_HEADER)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -19,6 +19,7 @@
 import attrs
 
 from bronzefold.gateway import model
+from bronzefold.gateway import settings
 from tests import fleet
 from tests.standins import site as sites
 
@@ -225,6 +226,21 @@
       )
 
 
+def make_settings(**changed: Any) -> settings.GatewaySettings:
+  """Makes the settings of a node that runs in the test, with changed fields."""
+  addresses = {
+    "request_address": "127.0.0.1:1",
+    "readiness_address": "127.0.0.1:2",
+    "directory_address": "127.0.0.1:3",
+    "metrics_address": "127.0.0.1:4",
+    "peer_address": "127.0.0.1:5",
+    "store_address": "127.0.0.1:6",
+  }
+  return settings.GatewaySettings(
+    node="n0", zone="a", **{**addresses, **changed}
+  )
+
+
 def make_request(received_at: float, **changed: Any) -> model.Request:
   """Makes a caller's request, with changed fields."""
   fields = {
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -1,7 +1,5 @@
 """A request that one upstream refuses and then gets again."""
 
-import asyncio
-import contextlib
 import unittest
 
 import anyio
@@ -17,6 +15,7 @@
 from bronzefold.platform import upstreams
 from bronzefold.upstreams import channel
 from tests import gateways
+from tests.standins import listeners
 from tests.standins import site as sites
 
 
@@ -57,31 +56,11 @@
       if self._has_id:
         refusal.update(echo)
       repeated = sites.format_response(self._status, refusal)
-    await close(writer)
-
-
-async def close(writer):
-  """Closes a connection and waits until its socket is closed."""
-  writer.close()
-  with contextlib.suppress(ConnectionError):
-    await writer.wait_closed()
-
-
-async def wait_for_others():
-  """Waits until the tasks that serve connections have ended."""
-  others = asyncio.all_tasks() - {asyncio.current_task()}
-  await asyncio.gather(*others)
 
 
 class RepeatedRefusalTest(unittest.IsolatedAsyncioTestCase):
   """An action is sent again to the upstream that refused it."""
 
-  async def start_upstream(self, upstream):
-    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
-    self.addAsyncCleanup(wait_for_others)
-    self.addCleanup(server.close)
-    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-
   def register(self, address, max_connections):
     self.inventory = inventory.Inventory(lambda _: max_connections)
     instance = model.Instance("i", "s", address, "a")
@@ -123,7 +102,7 @@
 
   async def check(self, upstream, max_connections=3):
     """Sends actions; those that ran are served, and none is said not to run."""
-    self.register(await self.start_upstream(upstream), max_connections)
+    self.register(await listeners.listen(self, upstream.serve), max_connections)
     ids = [b"r%d" % number for number in range(4)]
     shards = await self.send_actions(ids)
     for name, shard in zip(ids, shards, strict=True):
@@ -155,13 +134,10 @@
 
   async def asyncSetUp(self):
     async def accept(reader, writer):
+      del writer
       await reader.read()
-      await close(writer)
 
-    server = await asyncio.start_server(accept, "127.0.0.1", 0)
-    self.addAsyncCleanup(wait_for_others)
-    self.addCleanup(server.close)
-    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    address = await listeners.listen(self, accept)
     self.pool = channel.ChannelPool(address, limit=2)
     self.addCleanup(self.pool.close)
 
