Bound the memory of all messages of a process together

What callers saw: searches in progress ended without an answer, as nodes were killed for their memory, again and again (Fault).

Cause: the body of a response was bounded by its bytes, but each chunk of it was kept as an object; failed responses stayed until a full collection, as a connection and its parser refer to each other; and nothing bounded the sum over connections. Class: a bound on one connection, where the resource is the memory of the process.

Failed responses are dropped at once. Bodies of callers' requests and large responses that callers have not read count as well; a caller that reads nothing for the idle timeout is cut (event 724). The merge of a search makes no list of all records. The same on the product's own interface.

--- a/packages/callers/src/bronzefold/callers/application.py
+++ b/packages/callers/src/bronzefold/callers/application.py
@@ -211,14 +211,12 @@
 
   async def _read_body(self, request: requests.Request) -> bytes:
     limit = self.node.max_body_bytes
-    chunks: list[bytes] = []
-    size = 0
+    body = bytearray()
     async for chunk in request.stream():
-      size += len(chunk)
-      if size > limit:
+      body += chunk
+      if len(body) > limit:
         raise exceptions.TooLargeError(f"the body exceeds {limit} bytes")
-      chunks.append(chunk)
-    return b"".join(chunks)
+    return bytes(body)
 
 
 async def _run_while_connected(
--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -278,6 +278,12 @@
   logging.INFO,
   "Another node was asked to serve a request.",
 )
+RESPONSE_NOT_READ = _register(
+  724,
+  "response_not_read",
+  logging.WARNING,
+  "A connection was aborted, as its caller did not read the response.",
+)
 REQUEST_ANSWERED = _register(
   710, "request_answered", logging.INFO, "A request has its final answer."
 )
--- a/packages/core/src/bronzefold/core/exceptions.py
+++ b/packages/core/src/bronzefold/core/exceptions.py
@@ -161,6 +161,11 @@
   """The upstream's reply is not a valid answer to the request."""
 
 
+@register_error("memory_exhausted", 502)
+class MemoryExhaustedError(OutcomeUnknownError):
+  """The response was given up, as all responses took too much memory."""
+
+
 @register_error("upstream_failed", 502)
 class UpstreamFailedError(OutcomeUnknownError):
   """The upstream answered with a server error."""
--- a/packages/gateway/src/bronzefold/gateway/application.py
+++ b/packages/gateway/src/bronzefold/gateway/application.py
@@ -14,6 +14,7 @@
 
 from bronzefold.core import clock
 from bronzefold.core import events
+from bronzefold.core import memory
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import connections
 from bronzefold.gateway import coordinator
@@ -22,6 +23,9 @@
 from bronzefold.gateway import settings
 
 METRICS_PATH = "/metrics"
+MEMORY_RETRY_AFTER_S = 0.3  # several responses are sent in that time
+# Responses up to this size fit into a connection's buffer.
+_BUFFERED_BODY_BYTES = 64 * 1024
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -183,9 +187,20 @@
     received_at: Seconds,
   ) -> None:
     max_body_bytes = self._gateway.get_caller_limits().max_body_bytes
-    body = await _read_body(receive, max_body_bytes)
+    allocation = self._gateway.memory.hold()  # until the request has ended
+    body = await _read_body(receive, max_body_bytes, allocation)
     if body is None:
       return
+    if not allocation.settle(len(body)):
+      close = ((b"connection", b"close"),)
+      refusal = model.Response(
+        503,
+        close,
+        retry_after_s=MEMORY_RETRY_AFTER_S,
+        outcome="memory_exhausted",
+      )
+      await self._refuse(send, refusal)
+      return
     if len(body) > max_body_bytes:
       close = ((b"connection", b"close"),)
       refusal = model.Response(413, close, outcome="body_too_large")
@@ -228,30 +243,40 @@
         "headers": headers,
       }
     )
-    await send({"type": "http.response.body", "body": response.body})
-
-
-async def _read_body(receive: Receive, max_bytes: int) -> bytes | None:
+    is_buffered = len(response.body) <= _BUFFERED_BODY_BYTES
+    body = {"type": "http.response.body", "body": response.body}
+    await send({**body, "more_body": not is_buffered})
+    if not is_buffered:
+      allocation = self._gateway.memory.hold()
+      allocation.resize(len(response.body))
+      # Returns once the caller has read nearly all of the body.
+      await send({"type": "http.response.body"})
+      allocation.release()
+
+
+async def _read_body(
+  receive: Receive, max_bytes: int, allocation: memory.Allocation
+) -> bytes | None:
   """Reads the body of a request.
 
   Args:
     receive: Returns the next ASGI message of the request.
     max_bytes: Size beyond which the rest of the body is not read.
+    allocation: Memory of the body.
 
   Returns:
-    The body, cut off soon after ``max_bytes``; None if the caller has
-    disconnected.
+    The body, cut off soon after ``max_bytes`` or once it does not fit into the
+    memory; None if the caller has disconnected.
   """
-  chunks = []
-  size = 0
+  body = bytearray()
   while True:
     message = await receive()
     if message["type"] != "http.request":
       return None
-    chunks.append(message.get("body", b""))
-    size += len(chunks[-1])
-    if size > max_bytes or not message.get("more_body", False):
-      return b"".join(chunks)
+    body += message.get("body", b"")
+    is_last = len(body) > max_bytes or not message.get("more_body", False)
+    if is_last or not allocation.try_resize(len(body)):
+      return bytes(body)
 
 
 async def _cancel_on_disconnect(
--- a/packages/gateway/src/bronzefold/gateway/connections.py
+++ b/packages/gateway/src/bronzefold/gateway/connections.py
@@ -78,7 +78,7 @@
   A request whose incomplete head breaks a limit never reaches the application.
   A head that is complete when it is checked is left to ``Gateway``. A
   connection on which the caller sends nothing is closed like one that becomes
-  idle.
+  idle, and one on which it reads nothing of a response is aborted.
   """
 
   def __init__(self, *args: Any, **options: Any) -> None:
@@ -86,6 +86,7 @@
     self._is_reading_head = False
     self._head_bytes = 0
     self._head_timer: asyncio.TimerHandle | None = None
+    self._reading_timer: asyncio.TimerHandle | None = None
 
   def get_limits(self) -> model.CallerLimits:
     """Returns the limits in force."""
@@ -101,10 +102,40 @@
     )
 
   def connection_lost(self, exc: Exception | None) -> None:
-    """Stops the timer of the head."""
+    """Stops the timers."""
     self._stop_head_timer()
+    self._stop_reading_timer()
     super().connection_lost(exc)
 
+  def pause_writing(self) -> None:
+    """Starts to check whether the caller reads its response."""
+    super().pause_writing()
+    self._await_reading(self.transport.get_write_buffer_size())
+
+  def resume_writing(self) -> None:
+    """Stops the check; the caller has read most of its response."""
+    self._stop_reading_timer()
+    super().resume_writing()
+
+  def _await_reading(self, unread_bytes: int) -> None:
+    self._reading_timer = self.loop.call_later(
+      self.get_limits().idle_timeout_s, self._check_reading, unread_bytes
+    )
+
+  def _check_reading(self, unread_bytes: int) -> None:
+    """Aborts the connection if the caller has read nothing for a while."""
+    left_bytes = self.transport.get_write_buffer_size()
+    if left_bytes >= unread_bytes:
+      events.RESPONSE_NOT_READ.log(_logger, unread_bytes=left_bytes)
+      self.transport.abort()
+    else:
+      self._await_reading(left_bytes)
+
+  def _stop_reading_timer(self) -> None:
+    if self._reading_timer is not None:
+      self._reading_timer.cancel()
+      self._reading_timer = None
+
   def data_received(self, data: bytes) -> None:
     """Parses received bytes and checks the limits on an incomplete head.
 
--- a/packages/gateway/src/bronzefold/gateway/gateway.py
+++ b/packages/gateway/src/bronzefold/gateway/gateway.py
@@ -14,6 +14,7 @@
 from bronzefold.core import clock
 from bronzefold.core import containment
 from bronzefold.core import events
+from bronzefold.core import memory
 from bronzefold.core import metrics
 from bronzefold.core import quarantine
 from bronzefold.core import stopping
@@ -51,6 +52,8 @@
 # With 0.65, nodes had too few connections, which lowered the benchmark's score
 # by 0.01 on quiet days.
 CONNECTION_LIMIT_SHARE = 0.95
+# The rest is for the interpreter, its modules, and copies of messages.
+MESSAGE_MEMORY_SHARE = 0.2
 # The rest of the retry budget covers requests that reach another service's
 # upstream at a reused address.
 RETRY_RATIO_SHARE = 0.95
@@ -117,6 +120,7 @@
     relay: Has requests served by nodes that reach upstreams; None on a node
       that has no peers.
     answer_by: Monotonic time of the last response of a graceful stop.
+    memory: The memory of all messages of this process.
   """
 
   def __init__(
@@ -134,7 +138,10 @@
     """
     self.configuration: model.Configuration | None = None
     self.known_until: Seconds = -math.inf
-    self.upstreams = inventory.Inventory(self._get_connection_limit)
+    self.memory = memory.MemoryBudget(_get_message_memory(node_settings))
+    self.upstreams = inventory.Inventory(
+      self._get_connection_limit, self.memory
+    )
     self.rollouts = rollouts.Rollouts()
     self.limit_share = 1.0 / node_settings.assumed_nodes
     self.send_count = 0
@@ -181,7 +188,7 @@
       budget.slack = self._get_retry_slack()
 
   def update_settings(self, node_settings: settings.GatewaySettings) -> None:
-    """Applies a changed retry ratio and slack.
+    """Applies a changed retry ratio and slack, and changed memory.
 
     A changed retry window applies to budgets that are created later.
 
@@ -189,6 +196,7 @@
       node_settings: The changed settings.
     """
     self._settings = node_settings
+    self.memory.limit_bytes = _get_message_memory(node_settings)
     for budget in self._retry_budgets.values():
       budget.ratio = RETRY_RATIO_SHARE * node_settings.retry_ratio
       budget.slack = self._get_retry_slack()
@@ -474,6 +482,8 @@
     self.metrics.set_gauge("configuration_version", version)
     self.metrics.set_gauge("upstreams", self.upstreams.count_upstreams())
     self.metrics.set_gauge("limit_share", self.limit_share)
+    self.metrics.set_gauge("message_memory_bytes", self.memory.used_bytes)
+    self.metrics.set_gauge("messages_given_up", self.memory.evicted_count)
 
   def _record_refusal(
     self, request: model.Request, response: model.Response
@@ -584,6 +594,10 @@
     return budget
 
 
+def _get_message_memory(node_settings: settings.GatewaySettings) -> int:
+  return int(MESSAGE_MEMORY_SHARE * node_settings.memory_bytes)
+
+
 def _describe_shard(shard: fanout.ShardRequest) -> list[str]:
   return [shard.service, *map(_describe_attempt, shard.attempts)]
 
--- a/packages/gateway/src/bronzefold/gateway/inventory.py
+++ b/packages/gateway/src/bronzefold/gateway/inventory.py
@@ -8,7 +8,9 @@
 
 import attrs
 
+from bronzefold.core import defaults
 from bronzefold.core import events
+from bronzefold.core import memory
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import health
 from bronzefold.gateway import model
@@ -60,16 +62,25 @@
     limited_ids: Ids of the upstreams that announce a rate limit.
   """
 
-  def __init__(self, get_connection_limit: Callable[[str], int]) -> None:
+  def __init__(
+    self,
+    get_connection_limit: Callable[[str], int],
+    budget: memory.MemoryBudget | None = None,
+  ) -> None:
     """Creates an empty inventory.
 
     Args:
       get_connection_limit: Returns, for the name of a service, how many
         connections this node may open to each of its upstreams.
+      budget: The memory of all messages of this process; None for one of the
+        default size.
     """
     self.evacuated_zones: set[str] = set()
     self.limited_ids: set[str] = set()
     self._get_connection_limit = get_connection_limit
+    self._budget = budget or memory.MemoryBudget(
+      defaults.MAX_MESSAGE_MEMORY_BYTES
+    )
     self._upstreams: dict[str, Upstream] = {}
     self._by_service: dict[str, dict[str, Upstream]] = collections.defaultdict(
       dict
@@ -175,7 +186,7 @@
     if existing is not None:
       self._remove(instance.id)
     limit = self._get_connection_limit(instance.service)
-    pool = channel.ChannelPool(instance.address, limit)
+    pool = channel.ChannelPool(instance.address, limit, self._budget)
     upstream = Upstream(instance, pool)
     upstream.leaving_since = now if instance.is_draining else None
     self._upstreams[instance.id] = upstream
--- a/packages/gateway/src/bronzefold/gateway/merges.py
+++ b/packages/gateway/src/bronzefold/gateway/merges.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import heapq
 import itertools
 
 RECORD_BYTES = 16
 
 
-def split_records(body: bytes) -> list[bytes]:
-  """Splits the body of a part into records; drops a trailing fragment."""
+def split_records(body: bytes) -> Iterator[bytes]:
+  """Yields the records of a part's body; leaves out a trailing fragment."""
   end = len(body) - len(body) % RECORD_BYTES
-  return [
-    body[start : start + RECORD_BYTES] for start in range(0, end, RECORD_BYTES)
-  ]
+  for start in range(0, end, RECORD_BYTES):
+    yield body[start : start + RECORD_BYTES]
 
 
 def merge_parts(bodies: Iterable[bytes], top_k: int) -> bytes:
--- a/packages/gateway/src/bronzefold/gateway/model.py
+++ b/packages/gateway/src/bronzefold/gateway/model.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bronzefold.core import fingerprints
+from bronzefold.core import memory
 from bronzefold.core.clock import Seconds
 
 Header = tuple[bytes, bytes]
@@ -192,6 +193,8 @@
     is_misdirected: True if another upstream now has the address.
     rate_limit_per_s: Requests per second that the upstream accepts from all
       nodes together; None if it announces no limit.
+    allocation: Memory of the response, counted as long as something refers to
+      this.
   """
 
   status: int
@@ -201,6 +204,9 @@
   did_not_run: bool = False
   is_misdirected: bool = False
   rate_limit_per_s: float | None = None
+  allocation: memory.Allocation | None = attrs.field(
+    default=None, eq=False, repr=False
+  )
 
 
 @attrs.frozen
--- a/packages/gateway/src/bronzefold/gateway/reach.py
+++ b/packages/gateway/src/bronzefold/gateway/reach.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Collection
+import functools
 import logging
 import math
 import random
@@ -19,10 +20,8 @@
 
 from bronzefold.core import clock
 from bronzefold.core import events
-from bronzefold.core import exceptions
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import inventory
-from bronzefold.upstreams import channel
 
 # Twice a usual pause of an upstream; under load some response arrives sooner.
 SILENCE_S = 0.25
@@ -151,7 +150,10 @@
   ) -> None:
     probed = random.sample(upstreams, min(PROBE_COUNT, len(upstreams)))
     is_reached = await _any_true(
-      [lambda upstream=upstream: _probe(upstream) for upstream in probed]
+      [
+        functools.partial(upstream.pool.probe, PROBE_TIMEOUT_S)
+        for upstream in probed
+      ]
     )
     self._path.record_check(is_reached, now)
 
@@ -178,18 +180,6 @@
     self._on_change(self._was_lost, now)
 
 
-async def _probe(upstream: inventory.Upstream) -> bool:
-  """Returns whether a connection to an upstream can be opened."""
-  try:
-    connection = await channel.open_channel(
-      upstream.instance.address, PROBE_TIMEOUT_S
-    )
-  except exceptions.ConnectFailedError:
-    return False
-  connection.close()
-  return True
-
-
 async def _any_true(works: list[Callable[[], Awaitable[bool]]]) -> bool:
   """Runs functions at the same time until one of them returns True."""
   results: list[bool] = []
--- a/packages/gateway/src/bronzefold/gateway/settings.py
+++ b/packages/gateway/src/bronzefold/gateway/settings.py
@@ -36,6 +36,7 @@
     assumed_nodes: Number of nodes among which limits are divided until the
       actual nodes are known.
     capacity: Number of processor cores that the node may use.
+    memory_bytes: Memory that the process may use.
   """
 
   node: str
@@ -56,3 +57,4 @@
   is_first_start: bool = False
   assumed_nodes: int = 8
   capacity: float = 1.0
+  memory_bytes: int = 300_000_000
--- a/packages/node/src/bronzefold/node/ownership.py
+++ b/packages/node/src/bronzefold/node/ownership.py
@@ -15,9 +15,11 @@
 from bronzefold import store
 from bronzefold import upstreams
 from bronzefold.core import clock
+from bronzefold.core import defaults
 from bronzefold.core import documents
 from bronzefold.core import events
 from bronzefold.core import exceptions
+from bronzefold.core import memory
 from bronzefold.core import ranges
 from bronzefold.core import settings
 from bronzefold.node import configuration
@@ -124,6 +126,7 @@
     self._selector = selector
     self._publish_report = publish_report
     self._publish_manifest = publish_manifest
+    self._memory = memory.MemoryBudget(defaults.MAX_MESSAGE_MEMORY_BYTES)
     self._owned: dict[str, _OwnedUpstream] = {}
     self._releasing: set[str] = set()
     self._released_terms: dict[str, int] = {}
@@ -312,6 +315,7 @@
       document.limits,
       lambda now, warm: self.find_refusal(entry.name, now, warm),
       self._publish_manifest,
+      self._memory,
     )
     report = self._directory.get_report(entry.name)
     if report is not None and report.state.warm:
--- a/packages/upstreams/src/bronzefold/upstreams/channel.py
+++ b/packages/upstreams/src/bronzefold/upstreams/channel.py
@@ -11,7 +11,9 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
+import functools
 import math
+import sys
 
 import attrs
 import httptools
@@ -19,11 +21,11 @@
 from bronzefold.core import clock
 from bronzefold.core import defaults
 from bronzefold.core import exceptions
+from bronzefold.core import memory
 from bronzefold.core.clock import Seconds
 
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _KEEP_ALIVE_MARGIN_S = 1.0
-MAX_HEAD_BYTES = 64 * 1024  # also of interim responses and trailers
 _MAX_STRAY_RESPONSES = 4
 
 
@@ -35,11 +37,15 @@
     status: HTTP status.
     headers: Headers in the order received, names in lower case.
     body: Body of the response.
+    allocation: Its memory, counted as long as something refers to this.
   """
 
   status: int
   headers: tuple[tuple[bytes, bytes], ...]
   body: bytes
+  allocation: memory.Allocation | None = attrs.field(
+    default=None, eq=False, repr=False
+  )
 
   def get_header(self, name: bytes) -> bytes | None:
     """Returns the first value of a header, None if it is absent.
@@ -61,26 +67,35 @@
       opening before the first one.
     is_closed_here: True once this node has closed it.
 
-  Bytes that end neither a head nor a part of a body are bounded by
-  ``MAX_HEAD_BYTES``, and a body by ``MAX_UPSTREAM_BODY_BYTES``.
+  A body is bounded by ``MAX_UPSTREAM_BODY_BYTES``, all other bytes of a
+  response by ``memory.is_framing_excessive``, and the responses of all
+  connections together by a budget.
   """
 
-  def __init__(self) -> None:
+  def __init__(self, budget: memory.MemoryBudget) -> None:
+    """Creates a connection that is not open yet.
+
+    Args:
+      budget: The memory of all messages of this process.
+    """
     self.reusable = True
     self.expires_at: Seconds = 0.0
     self.idle_since: Seconds = 0.0
     self.is_closed_here = False
+    self._budget = budget
     self._loop = asyncio.get_running_loop()
     self._transport: asyncio.Transport | None = None
-    self._parser = httptools.HttpResponseParser(self)
+    self._parser: httptools.HttpResponseParser | None = (
+      httptools.HttpResponseParser(self)
+    )
     self._outcome: asyncio.Future[RawResponse] | None = None
     self._is_response: Callable[[RawResponse], bool] | None = None
     self._has_body = True
     self._stray_count = 0
-    self._unparsed_bytes = 0
+    self._allocation: memory.Allocation | None = None
+    self._framing_bytes = 0  # of this exchange that are no body
     self._headers: list[tuple[bytes, bytes]]
-    self._body: list[bytes]
-    self._body_bytes: int
+    self._body: bytearray
     self._head_complete: bool
     self._has_length: bool
     self._reset_message()
@@ -118,6 +133,7 @@
     self._outcome = outcome
     self._is_response = is_response
     self._has_body = has_body
+    self._framing_bytes = 0
     self._reset_message()
     self._transport.write(data)
     return outcome
@@ -141,30 +157,28 @@
       # next one.
       self.close()
       return
-    self._unparsed_bytes += len(data)
+    self._framing_bytes += len(data)
     try:
       self._parser.feed_data(data)
     except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
       self._fail(exceptions.MalformedReplyError(str(error)))
-    if self._unparsed_bytes > MAX_HEAD_BYTES:
-      self._fail(exceptions.MalformedReplyError("response head is too large"))
+    if self._outcome is not None:
+      self._check_size()
     if not self.reusable and self._outcome is None:
       self.close()
 
   def connection_lost(self, exc: Exception | None) -> None:
     """Ends the exchange; a response without a length may be complete."""
-    if self._outcome is None:
-      self.reusable = False
-      return
+    self.reusable = False
     has_ended = exc is None and not self.is_closed_here
     if has_ended and self._head_complete and not self._has_length:
-      self.reusable = False
       self._finish_response()
     self._fail(
       exceptions.ConnectionLostError(
         str(exc or "closed before the end of the response")
       )
     )
+    self._parser = None  # it refers to this connection
 
   def on_message_begin(self) -> None:
     """Starts a response."""
@@ -182,21 +196,16 @@
   def on_headers_complete(self) -> None:
     """Handles the end of the head; a response without a body ends here."""
     self._head_complete = self._parser.get_status_code() >= 200
-    if self._head_complete:
-      self._unparsed_bytes = 0
     if self._head_complete and not self._has_body:
       # The parser would wait for a body of the length given in the head.
       self.reusable = False
       self._finish_response()
 
   def on_body(self, data: bytes) -> None:
-    """Adds a chunk of the body; fails the exchange if it gets too large."""
-    self._unparsed_bytes = 0
-    self._body_bytes += len(data)
-    if self._body_bytes > defaults.MAX_UPSTREAM_BODY_BYTES:
-      self._fail(exceptions.MalformedReplyError("response body is too large"))
-      return
-    self._body.append(data)
+    """Adds a piece of the body."""
+    if self._outcome is not None:
+      self._framing_bytes -= len(data)
+      self._body += data
 
   def on_message_complete(self) -> None:
     """Handles the end of a response that has a length."""
@@ -209,19 +218,52 @@
   def _reset_message(self) -> None:
     """Forgets the parts of an earlier response."""
     self._headers = []
-    self._body = []
-    self._body_bytes = 0
+    self._body = bytearray()
     self._head_complete = False
     self._has_length = False
 
+  def _check_size(self) -> None:
+    """Counts the memory of the response; fails the exchange if it is too large.
+
+    It may also be given up for the memory of all responses.
+    """
+    body_bytes = len(self._body)
+    if memory.is_framing_excessive(self._framing_bytes, body_bytes):
+      self._fail(exceptions.MalformedReplyError("too many bytes are no body"))
+    elif body_bytes > defaults.MAX_UPSTREAM_BODY_BYTES:
+      self._fail(exceptions.MalformedReplyError("response body is too large"))
+    else:
+      if self._allocation is None:
+        self._allocation = self._budget.start(self._give_up)
+      self._allocation.resize(
+        self._count_head_bytes() + sys.getsizeof(self._body)
+      )
+
+  def _count_head_bytes(self) -> int:
+    """Returns the memory of the head, also of one that is not yet whole."""
+    overhead_bytes = memory.HEADER_OVERHEAD_BYTES * len(self._headers)
+    return max(0, self._framing_bytes) + overhead_bytes
+
+  def _give_up(self) -> None:
+    self._allocation = None
+    self._fail(exceptions.MemoryExhaustedError("response is given up"))
+
   def _finish_response(self) -> None:
+    if self._outcome is None:
+      return
+    allocation = self._allocation or self._budget.hold()
+    self._allocation = None
+    size_bytes = len(self._body) + self._count_head_bytes()
+    if not allocation.settle(size_bytes):
+      self._fail(exceptions.MemoryExhaustedError("response is given up"))
+      return
     response = RawResponse(
       self._parser.get_status_code(),
       tuple(self._headers),
-      b"".join(self._body),
+      bytes(self._body),
+      allocation,
     )
-    if self._outcome is None:
-      return
+    self._release_memory()
     if not self._is_response(response):
       self._skip_stray_response()
       return
@@ -229,7 +271,6 @@
       # The upstream responded before it had read the complete request.
       self.reusable = False
     self._update_expiry(response)
-    self._unparsed_bytes = 0
     outcome, self._outcome = self._outcome, None
     if not outcome.done():
       outcome.set_result(response)
@@ -237,6 +278,7 @@
   def _skip_stray_response(self) -> None:
     """Discards a stray response and waits for the next one."""
     self.reusable = False
+    self._framing_bytes = 0
     self._stray_count += 1
     if self._stray_count > _MAX_STRAY_RESPONSES:
       self._fail(exceptions.MalformedReplyError("too many stray responses"))
@@ -256,19 +298,31 @@
 
   def _fail(self, error: exceptions.BronzefoldError) -> None:
     self.reusable = False
+    self._release_memory()
     outcome, self._outcome = self._outcome, None
     if outcome is not None and not outcome.done():
       outcome.set_exception(error)
     if self._transport is not None:
       self._transport.abort()
 
+  def _release_memory(self) -> None:
+    """Drops what was received of a response."""
+    self._headers = []
+    self._body = bytearray()
+    if self._allocation is not None:
+      self._allocation.release()
+      self._allocation = None
+
 
-async def open_channel(address: str, timeout_s: Seconds) -> Channel:
+async def open_channel(
+  address: str, timeout_s: Seconds, budget: memory.MemoryBudget
+) -> Channel:
   """Opens a connection.
 
   Args:
     address: IP:port of the upstream.
     timeout_s: Time limit in seconds.
+    budget: The memory of all messages of this process.
 
   Returns:
     The channel.
@@ -281,7 +335,9 @@
   loop = asyncio.get_running_loop()
   try:
     async with asyncio.timeout(timeout_s):
-      _, channel = await loop.create_connection(Channel, host, int(port))
+      _, channel = await loop.create_connection(
+        functools.partial(Channel, budget), host, int(port)
+      )
   except (OSError, TimeoutError, ValueError, OverflowError) as error:
     is_refused = isinstance(error, ConnectionRefusedError)
     error_type = (
@@ -304,16 +360,26 @@
     opened: Count of the connections opened so far.
   """
 
-  def __init__(self, address: str, limit: int) -> None:
+  def __init__(
+    self,
+    address: str,
+    limit: int,
+    budget: memory.MemoryBudget | None = None,
+  ) -> None:
     """Creates an empty pool.
 
     Args:
       address: IP:port of the upstream.
       limit: Highest count of connections in use.
+      budget: The memory of all messages of this process; None for one of the
+        default size.
     """
     self.address = address
     self.limit = limit
     self.opened = 0
+    self._budget = budget or memory.MemoryBudget(
+      defaults.MAX_MESSAGE_MEMORY_BYTES
+    )
     self._idle: list[Channel] = []
     self._in_use = 0
 
@@ -390,11 +456,24 @@
     """
     self.opened += 1
     try:
-      return await open_channel(self.address, timeout_s)
+      return await open_channel(self.address, timeout_s, self._budget)
     except BaseException:
       self._in_use -= 1
       raise
 
+  async def probe(self, timeout_s: Seconds) -> bool:
+    """Returns whether a connection can be opened, which is closed at once.
+
+    Args:
+      timeout_s: Time limit in seconds.
+    """
+    try:
+      channel = await open_channel(self.address, timeout_s, self._budget)
+    except exceptions.ConnectFailedError:
+      return False
+    channel.close()
+    return True
+
   def release(self, channel: Channel) -> None:
     """Returns a connection to the pool; closes it if it is not reusable.
 
--- a/packages/upstreams/src/bronzefold/upstreams/connection.py
+++ b/packages/upstreams/src/bronzefold/upstreams/connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 import anyio
 import attrs
 from expression import Error
@@ -12,8 +14,11 @@
 from bronzefold.core import clock
 from bronzefold.core import defaults
 from bronzefold.core import exceptions
+from bronzefold.core import memory
 from bronzefold.upstreams import messages
 
+_MIN_CHUNK_FRAMING_BYTES = 5  # a digit and two ends of lines
+
 
 @attrs.frozen
 class Exchange:
@@ -46,6 +51,7 @@
       seconds.
     rate_limit_per_s: Requests per second that the upstream accepts; None if it
       announces no limit.
+    allocation: Memory of the body, counted as long as something refers to this.
   """
 
   instance: str
@@ -53,6 +59,9 @@
   body: bytes
   took_s: clock.Seconds
   rate_limit_per_s: float | None = None
+  allocation: memory.Allocation | None = attrs.field(
+    default=None, eq=False, repr=False
+  )
 
 
 class UpstreamConnection:
@@ -62,12 +71,19 @@
     opened: Count of the connections opened so far.
   """
 
-  def __init__(self, address: str) -> None:
+  def __init__(
+    self, address: str, budget: memory.MemoryBudget | None = None
+  ) -> None:
     """Creates a closed connection; the first exchange opens it.
 
     Args:
       address: IP:port of the upstream.
+      budget: The memory of all messages of this process; None for one of the
+        default size.
     """
+    self._budget = budget or memory.MemoryBudget(
+      defaults.MAX_MESSAGE_MEMORY_BYTES
+    )
     host, _, port = address.partition(":")
     self._origin = httpcore.Origin(b"http", host.encode(), int(port))
     self._host_header = (b"host", address.encode())
@@ -195,11 +211,14 @@
     try:
       with anyio.fail_after(timeout_s):
         response = await self._connection.handle_async_request(request)
-        body = await _read_body(response)
+        body, allocation = await self._read_body(response)
       await response.aclose()
       completed = True
       self._idle_since = clock.read_monotonic()
-    except exceptions.MalformedReplyError as error:
+    except (
+      exceptions.MalformedReplyError,
+      exceptions.MemoryExhaustedError,
+    ) as error:
       return Error(error)
     except httpcore.ConnectError as error:
       return Error(_make_connect_error(error))
@@ -220,7 +239,42 @@
       # arrive and would be read as the response to the next request.
       if not completed:
         await self._discard_connection()
-    return await self._check_response(response, body, request_id, started_at)
+    return await self._check_response(
+      response, body, allocation, request_id, started_at
+    )
+
+  async def _read_body(
+    self, response: httpcore.Response
+  ) -> tuple[bytes, memory.Allocation]:
+    """Reads the body of a response.
+
+    Returns:
+      The body and its memory.
+
+    Raises:
+      MalformedReplyError: The body is larger than ``MAX_UPSTREAM_BODY_BYTES``,
+        or comes in pieces that are too small.
+      MemoryExhaustedError: All responses took too much memory.
+    """
+    body = bytearray()
+    framing_bytes = 0
+    with anyio.CancelScope() as scope:
+      allocation = self._budget.start(scope.cancel)
+      try:
+        async for piece in response.aiter_stream():
+          body += piece
+          framing_bytes += _MIN_CHUNK_FRAMING_BYTES
+          if memory.is_framing_excessive(framing_bytes, len(body)):
+            raise exceptions.MalformedReplyError("chunks are too small")
+          if len(body) > defaults.MAX_UPSTREAM_BODY_BYTES:
+            raise exceptions.MalformedReplyError("response body is too large")
+          allocation.resize(sys.getsizeof(body))
+      except BaseException:
+        allocation.release()
+        raise
+      if allocation.settle(len(body)):
+        return bytes(body), allocation
+    raise exceptions.MemoryExhaustedError("response is given up")
 
   async def _discard_connection(self) -> None:
     connection, self._connection = self._connection, None
@@ -232,6 +286,7 @@
     self,
     response: httpcore.Response,
     body: bytes,
+    allocation: memory.Allocation,
     request_id: str,
     started_at: clock.Seconds,
   ) -> Result[Response, exceptions.BronzefoldError]:
@@ -266,7 +321,9 @@
       headers.get(messages.RATE_LIMIT_HEADER)
     )
     return Ok(
-      Response(instance, response.status, body, took_s, rate_limit_per_s)
+      Response(
+        instance, response.status, body, took_s, rate_limit_per_s, allocation
+      )
     )
 
 
@@ -280,19 +337,3 @@
       return exceptions.ConnectRefusedError(str(error))
     cause = cause.__cause__ or cause.__context__
   return exceptions.ConnectFailedError(str(error))
-
-
-async def _read_body(response: httpcore.Response) -> bytes:
-  """Reads the body of a response.
-
-  Raises:
-    MalformedReplyError: The body is larger than ``MAX_UPSTREAM_BODY_BYTES``.
-  """
-  chunks: list[bytes] = []
-  size = 0
-  async for chunk in response.aiter_stream():
-    size += len(chunk)
-    if size > defaults.MAX_UPSTREAM_BODY_BYTES:
-      raise exceptions.MalformedReplyError("response body is too large")
-    chunks.append(chunk)
-  return b"".join(chunks)
--- a/packages/upstreams/src/bronzefold/upstreams/executor.py
+++ b/packages/upstreams/src/bronzefold/upstreams/executor.py
@@ -19,6 +19,7 @@
 from bronzefold.core import documents
 from bronzefold.core import events
 from bronzefold.core import exceptions
+from bronzefold.core import memory
 from bronzefold.core import ranges
 from bronzefold.upstreams import connection
 from bronzefold.upstreams import messages
@@ -82,6 +83,7 @@
     limits: documents.Limits,
     check_send: SendCheck,
     on_manifest: ManifestListener,
+    budget: memory.MemoryBudget | None = None,
   ) -> None:
     """Creates an executor; ``run`` starts its tasks.
 
@@ -93,12 +95,15 @@
         the upstream is warm. Returns the error to refuse the request with,
         None if it may be sent.
       on_manifest: Called with the service and each new manifest.
+      budget: The memory of all messages of this process; None for one of the
+        default size.
     """
     self.service = service
     self.entry = entry
     self._limits = limits
     self._check_send = check_send
     self._on_manifest = on_manifest
+    self._budget = budget
     self._ramp = ramp.ColdStartRamp(
       limits.slots, limits.cold_slots, limits.warm_up_s
     )
@@ -325,7 +330,7 @@
         await self._state_changed.wait()
 
   async def _run_worker(self) -> None:
-    conn = connection.UpstreamConnection(self.entry.address)
+    conn = connection.UpstreamConnection(self.entry.address, self._budget)
     try:
       while True:
         job = await self._wait_for_job()
@@ -518,7 +523,7 @@
     return budget_s > _FAILURE_LATENCY_FACTOR * self._ramp.baseline_s
 
   async def _poll(self) -> None:
-    conn = connection.UpstreamConnection(self.entry.address)
+    conn = connection.UpstreamConnection(self.entry.address, self._budget)
     try:
       while True:
         while not self._usable:
--- a/tests/cut_node.py
+++ b/tests/cut_node.py
@@ -20,11 +20,11 @@
 data_received = channel.Channel.data_received
 
 
-async def open_unless_cut(address, timeout_s):
+async def open_unless_cut(address, timeout_s, budget):
   if CUT.exists():
     await asyncio.sleep(timeout_s)
     raise exceptions.ConnectFailedError("cut")
-  return await open_channel(address, timeout_s)
+  return await open_channel(address, timeout_s, budget)
 
 
 def start_unless_cut(self, data, is_response, has_body=True):
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -10,6 +10,7 @@
 
 from bronzefold.core import defaults
 from bronzefold.core import exceptions
+from bronzefold.core import memory
 from bronzefold.upstreams import channel
 
 _RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nbody"
@@ -27,7 +28,9 @@
 _SUFFIXES = (*_PREFIXES, _RESPONSE[:-1])
 
 
-class _Transport(asyncio.Transport):
+class FakeTransport(asyncio.Transport):
+  """Records whether the connection was aborted."""
+
   def __init__(self):
     super().__init__()
     self.is_aborted = False
@@ -87,8 +90,8 @@
   Returns:
     The channel and the future of the response.
   """
-  conn = channel.Channel()
-  transport = _Transport()
+  conn = channel.Channel(memory.MemoryBudget(64 << 20))
+  transport = FakeTransport()
   conn.connection_made(transport)
   outcome = conn.start(b"GET / HTTP/1.1\r\n\r\n", is_response_to_request)
   for chunk in chunks:
@@ -164,7 +167,7 @@
         self.assertIsInstance(error, exceptions.MalformedReplyError)
         is_body = any(word in name for word in ("body", "chunk", "length"))
         most = defaults.MAX_UPSTREAM_BODY_BYTES if is_body else 0
-        self.assertLess(read_bytes, most + 2 * channel.MAX_HEAD_BYTES)
+        self.assertLess(read_bytes, most + 2 * memory.MAX_FRAMING_BYTES)
 
   async def feed_until_closed(self, start, repeated):
     """Feeds bytes until the channel closes, at most 100 MB.
@@ -172,8 +175,8 @@
     Returns:
       The error of the exchange, None without one, and the count of bytes.
     """
-    conn = channel.Channel()
-    transport = _Transport()
+    conn = channel.Channel(memory.MemoryBudget(64 << 20))
+    transport = FakeTransport()
     conn.connection_made(transport)
     outcome = conn.start(b"GET / HTTP/1.1\r\n\r\n", is_response_to_request)
     pieces = itertools.chain(
@@ -213,8 +216,8 @@
     Returns:
       The future of the second response.
     """
-    conn = channel.Channel()
-    conn.connection_made(_Transport())
+    conn = channel.Channel(memory.MemoryBudget(64 << 20))
+    conn.connection_made(FakeTransport())
     conn.start(b"GET / HTTP/1.1\r\n\r\n", is_response_to_request)
     conn.data_received(earlier)
     self.assertTrue(conn.reusable)
@@ -247,8 +250,8 @@
     Returns:
       The channel and the future of the second response.
     """
-    conn = channel.Channel()
-    conn.connection_made(_Transport())
+    conn = channel.Channel(memory.MemoryBudget(64 << 20))
+    conn.connection_made(FakeTransport())
     first = conn.start(
       b"GET / HTTP/1.1\r\n\r\n",
       lambda response: response.get_header(b"x-id") == b"else",
--- a/tests/test_seals.py
+++ b/tests/test_seals.py
@@ -8,6 +8,7 @@
 
 from bronzefold.core import clock
 from bronzefold.core import exceptions
+from bronzefold.core import memory
 from bronzefold.gateway import gateway as gateways_
 from bronzefold.gateway import model
 from bronzefold.gateway import relay
@@ -192,7 +193,9 @@
       await reader.read()
 
     address = await listeners.listen(self, serve)
-    opened = await channel.open_channel(address, 1.0)
+    opened = await channel.open_channel(
+      address, 1.0, memory.MemoryBudget(1 << 20)
+    )
     outcome = opened.start(b"GET / HTTP/1.1\r\n\r\n", lambda _: True)
     await sent.wait()
     await asyncio.sleep(0.05)
