--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -111,7 +111,9 @@
     ) = ports
     self.peer_port, self.metrics_port = ports
     self.peer_port = peer_port or self.peer_port
-    self._path = pathlib.Path(self.temporary_directory.name) / "boot.toml"
+    self.settings_path = (
+      pathlib.Path(self.temporary_directory.name) / "boot.toml"
+    )
     self._values = {
       "name": name,
       "zone": zone,
@@ -141,7 +143,7 @@
         cwd=fleet.ROOT,
         env={
           **os.environ,
-          "BRONZEFOLD_CONFIG": str(self._path),
+          "BRONZEFOLD_CONFIG": str(self.settings_path),
           "BRONZEFOLD_METRICS_PORT": str(self.metrics_port),
           "BRONZEFOLD_TEST_CUT": str(self._cut_path),
         },
@@ -157,7 +159,7 @@
   def write_settings(self, **changed: Any) -> None:
     """Writes the settings file, with changed values."""
     self._values.update(changed)
-    self._path.write_text(_SETTINGS.format(**self._values), "utf-8")
+    self.settings_path.write_text(_SETTINGS.format(**self._values), "utf-8")
 
   def __enter__(self) -> Self:
     return self
