--- a/packages/peers/src/bronzefold/peers/messages.py
+++ b/packages/peers/src/bronzefold/peers/messages.py
@@ -94,7 +94,12 @@
     raise exceptions.PeerFrameError(f"unknown message type {name!r}")
   try:
     return decoder.decode(body)
-  except (msgspec.MsgspecError, RecursionError) as error:
+  except (
+    msgspec.MsgspecError,
+    RecursionError,
+    TypeError,
+    ValueError,
+  ) as error:
     raise exceptions.PeerFrameError(
       f"malformed message of type {name!r}: {error}"
     ) from error
