Wait for addresses in use instead of ending at the start

What was seen: a node that starts while another process has one of its ports exits with 1 and a traceback, and is started again after a delay (Fault, RECOVER). No event of the catalogue said why.

Cause: listening sockets were opened once, in the constructor of the links between nodes and before the server started.

Change: core/listeners.py opens an address as soon as it is free, and event 110 names one that is not. The node serves while the port for metrics is held. A node that is stopped meanwhile ends. Settings that are being written as the node starts are read again for a second before it exits with 2.

--- a/packages/callers/src/bronzefold/callers/server.py
+++ b/packages/callers/src/bronzefold/callers/server.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import socket
+import functools
 
 import anyio
 import uvicorn
 
+from bronzefold.core import listeners
 from bronzefold.core import servers
 
 _KEEP_ALIVE_S = 30
@@ -34,8 +35,9 @@
 
   async def listen(self) -> None:
     """Listens and serves requests until the server stops."""
-    host, _, port = self._address.partition(":")
-    listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+    listener = await listeners.open_when_free(
+      self._address, functools.partial(listeners.open_socket, backlog=_BACKLOG)
+    )
     try:
       await self.serve(sockets=[listener])
     finally:
--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -149,6 +149,12 @@
   logging.WARNING,
   "The node stopped sending traffic to a version with a regression.",
 )
+ADDRESS_IN_USE = _register(
+  110,
+  "address_in_use",
+  logging.WARNING,
+  "The node waits for an address on which it can't listen yet.",
+)
 SIGNAL_RECEIVED = _register(
   109, "signal_received", logging.INFO, "The process has received a signal."
 )
--- a/packages/core/src/bronzefold/core/servers.py
+++ b/packages/core/src/bronzefold/core/servers.py
@@ -75,6 +75,18 @@
       self.config.timeout_graceful_shutdown = left_s
     await super().shutdown(sockets)
 
+  async def add_listener(self, listener: socket.socket) -> None:
+    """Serves connections to another listening socket, once it has started.
+
+    Args:
+      listener: The socket; it is closed on shutdown.
+    """
+    while not self.started:
+      await asyncio.sleep(_POLL_PERIOD_S)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(self._make_protocol, sock=listener)
+    self.servers.append(server)
+
   def _has_connection_without_request(self) -> bool:
     """True while a connection has not received its first request."""
     return any(
--- a/packages/gateway/src/bronzefold/gateway/application.py
+++ b/packages/gateway/src/bronzefold/gateway/application.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import logging
 import socket
 from typing import Any
@@ -14,6 +15,7 @@
 
 from bronzefold.core import clock
 from bronzefold.core import events
+from bronzefold.core import listeners
 from bronzefold.core import memory
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import connections
@@ -102,8 +104,8 @@
       _read_port(node_settings.metrics_address): self._serve_metrics,
     }
 
-  def open_sockets(self, backlog: int) -> list[socket.socket]:
-    """Opens the listening sockets of all ports.
+  async def open_sockets(self, backlog: int) -> list[socket.socket]:
+    """Opens the listening sockets of all ports but that for metrics.
 
     Args:
       backlog: Maximum number of connections that wait to be accepted.
@@ -112,15 +114,24 @@
       self._settings.request_address,
       self._settings.readiness_address,
       self._settings.directory_address,
-      self._settings.metrics_address,
     )
+    open_listener = functools.partial(listeners.open_socket, backlog=backlog)
     return [
-      socket.create_server(
-        (address.partition(":")[0], _read_port(address)), backlog=backlog
-      )
+      await listeners.open_when_free(address, open_listener)
       for address in addresses
     ]
 
+  async def open_metrics_socket(self, backlog: int) -> socket.socket:
+    """Opens the listening socket for metrics, which callers need not wait for.
+
+    Args:
+      backlog: Maximum number of connections that wait to be accepted.
+    """
+    return await listeners.open_when_free(
+      self._settings.metrics_address,
+      functools.partial(listeners.open_socket, backlog=backlog),
+    )
+
   async def __call__(
     self, scope: dict[str, Any], receive: Receive, send: Send
   ) -> None:
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -9,6 +9,7 @@
 import logging
 import signal
 import sys
+import time
 from typing import Any
 
 import anyio
@@ -48,6 +49,8 @@
 RELAYED_RECHECK_DELAY_S = 0.02
 MIN_DRAIN_S = 1.0  # time for requests in progress, whatever the stop limit
 SETTINGS_POLL_PERIOD_S = 3.0
+FIRST_SETTINGS_WAIT_S = 1.0  # a file of a few KB is written within milliseconds
+FIRST_SETTINGS_RETRY_DELAY_S = 0.1
 FLEET_NAME = "gateway"
 BACKLOG = 512
 
@@ -98,6 +101,7 @@
     """
     self._adapter = adapter
     self._signals = signal_queue
+    self._opening = anyio.CancelScope()  # until the node listens
     self._settings = node_settings
     self._tasks = tasks
     self._gateway = gateways.Gateway(
@@ -159,20 +163,29 @@
     events.NODE_STARTED.log(
       _logger, node=self._settings.node, zone=self._settings.zone
     )
-    sockets = self._application.open_sockets(BACKLOG)
+    self._tasks.start_soon(supervision.supervise, self._handle_signals)
+    with self._opening:
+      sockets = await self._application.open_sockets(BACKLOG)
+    if self._opening.cancelled_caught:
+      events.NODE_STOPPED.log(_logger, node=self._settings.node)
+      return
     self._members.set_state(membership.SERVING)
     self._tasks.start_soon(self._network.run, self._tasks)
     self._tasks.start_soon(supervision.supervise, self._fleet.run)
-    self._tasks.start_soon(supervision.supervise, self._handle_signals)
     self._tasks.start_soon(supervision.supervise, self._follower.run)
     self._tasks.start_soon(supervision.supervise, self._registrar.run)
     self._tasks.start_soon(supervision.supervise, self._writer.run)
     self._tasks.start_soon(supervision.supervise, self._poll_settings)
     self._tasks.start_soon(supervision.supervise, self._reach_checker.run)
+    self._tasks.start_soon(self._listen_for_metrics)
     await self._server.serve(sockets=sockets)
     await self._finish_relayed()
     events.NODE_STOPPED.log(_logger, node=self._settings.node)
 
+  async def _listen_for_metrics(self) -> None:
+    listener = await self._application.open_metrics_socket(BACKLOG)
+    await self._server.add_listener(listener)
+
   async def _handle_message(self, sender: str, message: Any) -> None:
     handle = functools.partial(self._fleet.handle_message, sender, message)
     await supervision.run_guarded(handle)
@@ -216,7 +229,11 @@
     events.SETTINGS_RELOADED.log(_logger, node=node_settings.node)
 
   def _start_leaving(self) -> None:
-    """Leaves the directory at once, and later stops accepting requests."""
+    """Leaves the directory at once, and later stops accepting requests.
+
+    A node that does not listen yet has nothing to finish.
+    """
+    self._opening.cancel()
     now = clock.read_monotonic()
     cut_at = now + max(
       DIRECTORY_CACHE_WAIT_S + servers.FIRST_REQUEST_WAIT_S + MIN_DRAIN_S,
@@ -285,6 +302,32 @@
     tasks.cancel_scope.cancel()
 
 
+def _load_first_settings(
+  adapter: PlatformAdapter, now: clock.Seconds
+) -> settings.GatewaySettings:
+  """Loads the settings; waits a moment for a file that is being written.
+
+  Args:
+    adapter: Formats of the platform.
+    now: Monotonic time.
+
+  Returns:
+    The settings.
+
+  Raises:
+    SettingsError: The file is still invalid.
+  """
+  deadline = now + FIRST_SETTINGS_WAIT_S
+  while True:
+    try:
+      return adapter.load_settings()
+    except exceptions.SettingsError as error:
+      if clock.read_monotonic() > deadline:
+        raise
+      events.SETTINGS_REFUSED.log(_logger, reason=error.detail)
+    time.sleep(FIRST_SETTINGS_RETRY_DELAY_S)
+
+
 def run_node(
   adapter: PlatformAdapter, signal_queue: signals.SignalQueue
 ) -> int:
@@ -300,7 +343,7 @@
   faulthandler.enable()  # a crash in an extension prints to standard error
   handler = logs.configure_logs()
   try:
-    node_settings = adapter.load_settings()
+    node_settings = _load_first_settings(adapter, clock.read_monotonic())
   except exceptions.SettingsError as error:
     print(error.detail, file=sys.stderr)
     return _EXIT_BAD_SETTINGS
--- a/packages/peers/src/bronzefold/peers/links.py
+++ b/packages/peers/src/bronzefold/peers/links.py
@@ -22,6 +22,7 @@
 
 from bronzefold.core import events
 from bronzefold.core import exceptions
+from bronzefold.core import listeners
 from bronzefold.peers import messages
 
 SEED_LINK_PREFIX = "seed/"
@@ -249,7 +250,8 @@
 
     Args:
       codec: Encodes and decodes frames.
-      bind_address: IP:port on which this node receives.
+      bind_address: IP:port on which this node receives; ``run`` waits while it
+        is in use.
       handler: Called with the sender's name and each message that is not a
         reply.
     """
@@ -265,7 +267,7 @@
     self._receiver.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
     self._receiver.setsockopt(zmq.HEARTBEAT_IVL, _ZMQ_HEARTBEAT_PERIOD_MS)
     self._receiver.setsockopt(zmq.HEARTBEAT_TIMEOUT, _ZMQ_HEARTBEAT_TIMEOUT_MS)
-    self._receiver.bind(f"tcp://{bind_address}")
+    self._bind_address = bind_address
     self._closed_links_control_bytes = 0
     self.refused_frames = 0
     self.skipped_messages = 0
@@ -287,6 +289,7 @@
     """
     self._tasks = tasks
     try:
+      await listeners.open_when_free(self._bind_address, self._bind)
       while True:
         parts = await self._receiver.recv_multipart()
         self._handle_frame(parts)
@@ -296,6 +299,13 @@
       self._receiver.close()
       self._context.term()
 
+  def _bind(self, address: str) -> None:
+    """Binds the receiver; a ``ZMQError`` is turned into an ``OSError``."""
+    try:
+      self._receiver.bind(f"tcp://{address}")
+    except zmq.ZMQError as error:
+      raise OSError(error.errno, error.strerror) from error
+
   def connect(self, node: str, address: str) -> None:
     """Opens a link to a node unless there is one to the same address.
 
