Forget what a former hub reported of entry nodes

Cause: the last report of a node counted while the node lived, also when it was no hub any more and reported nothing.

The new test of tests.test_directory names "killed:1" if reports count without a limit.

--- a/packages/gateway/src/bronzefold/gateway/coordinator.py
+++ b/packages/gateway/src/bronzefold/gateway/coordinator.py
@@ -88,7 +88,7 @@
     self._store_probes = backoff.SharedProbes(
       SPOKE_PROBES_PER_S, contact.UPDATE_TIMEOUT_S
     )
-    self._directory = directory.EntryDirectory(members)
+    self._directory = directory.EntryDirectory(members, HEARTBEAT_TIMEOUT_S)
     self._last_topology_inputs: tuple[tuple[str, str, float], ...] = ()
     self._topology = topology.Topology(is_hub=True, neighbours=())
     self._tokens = tokens.TokenExchange(
@@ -298,7 +298,7 @@
     for status in heartbeat.rollouts:
       self._gateway.rollouts.merge_status(status, now)
     if heartbeat.entry_addresses:
-      self._directory.record_report(sender, heartbeat.entry_addresses)
+      self._directory.record_report(sender, heartbeat.entry_addresses, now)
     self._network.connect(sender, heartbeat.peer_address)
     has_restarted = is_known and heartbeat.echo is None
     if has_restarted:
--- a/packages/gateway/src/bronzefold/gateway/directory.py
+++ b/packages/gateway/src/bronzefold/gateway/directory.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 import itertools
 
+import attrs
+
 from bronzefold.core.clock import Seconds
 from bronzefold.gateway import topology
 from bronzefold.peers import membership
@@ -20,23 +22,31 @@
 class EntryDirectory:
   """Entry nodes known to this node, by heartbeats or by reports of hubs."""
 
-  def __init__(self, members: membership.Membership) -> None:
+  def __init__(
+    self, members: membership.Membership, max_report_age_s: Seconds
+  ) -> None:
     """Creates a directory without reports.
 
     Args:
       members: The nodes of the fleet, this one included.
+      max_report_age_s: How long a report counts, in seconds; about as long as a
+        node without a heartbeat counts as alive.
     """
     self._members = members
-    self._addresses_by_hub: dict[str, tuple[str, ...]] = {}
+    self._max_report_age_s = max_report_age_s
+    self._reports: dict[str, _Report] = {}
 
-  def record_report(self, hub: str, addresses: tuple[str, ...]) -> None:
+  def record_report(
+    self, hub: str, addresses: tuple[str, ...], now: Seconds
+  ) -> None:
     """Records the entry nodes that a hub knows to be alive.
 
     Args:
       hub: Name of the hub.
       addresses: Their caller addresses, IP:port.
+      now: Monotonic time.
     """
-    self._addresses_by_hub[hub] = addresses
+    self._reports[hub] = _Report(addresses, now)
 
   def list_addresses(self, is_hub: bool, now: Seconds) -> list[str]:
     """Lists the caller addresses of the entry nodes.
@@ -59,16 +69,31 @@
   def _list_reported(self, now: Seconds) -> list[str]:
     """Lists the addresses in the last report of any hub that is alive.
 
-    A hub may be cut off from some entry nodes, so a single report suffices.
+    A hub may be cut off from some entry nodes, so a single report suffices. One
+    that is no hub any more lives on and reports no more.
     """
     reports = (
-      addresses
-      for hub, addresses in self._addresses_by_hub.items()
-      if self._members.is_alive(hub, now)
+      report.addresses
+      for hub, report in self._reports.items()
+      if now - report.received_at <= self._max_report_age_s
+      and self._members.is_alive(hub, now)
     )
     return sorted(set(itertools.chain.from_iterable(reports)))
 
 
+@attrs.frozen
+class _Report:
+  """The entry nodes that a hub has reported.
+
+  Attributes:
+    addresses: Their caller addresses, IP:port.
+    received_at: Monotonic time of its arrival.
+  """
+
+  addresses: tuple[str, ...]
+  received_at: Seconds
+
+
 def sum_demand(members: Iterable[membership.Member]) -> float:
   """Returns how many processor cores the requests of some nodes use."""
   return sum(member.demand for member in members)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -37,7 +37,7 @@
     for member in others:
       self.members.register(member)
     self.plan = topology.plan_topology(own, others)
-    self.directory = directory.EntryDirectory(self.members)
+    self.directory = directory.EntryDirectory(self.members, HEARTBEAT_TIMEOUT_S)
 
   def receive(self, sender: "Node", now: float) -> None:
     """Receives a heartbeat of another node, which echoes one of this node."""
@@ -46,7 +46,7 @@
     self.members.record_heartbeat(attrs.evolve(heartbeat, echo=now), 0)
     if name in {member.node for member in sender.plan.spokes}:
       self.directory.record_report(
-        sender.members.own_member.node, tuple(sender.list_addresses(now))
+        sender.members.own_member.node, tuple(sender.list_addresses(now)), now
       )
 
   def list_addresses(self, now: float) -> list[str]:
@@ -85,6 +85,18 @@
           sorted(node.list_addresses(later)), self.large[2:], name
         )
 
+  def test_report_of_a_node_that_is_no_hub_any_more_is_forgotten(self):
+    """Guards against naming killed nodes for as long as a former hub lives."""
+    self.exchange(NOW)
+    former = next(n for n, node in self.nodes.items() if not node.plan.is_hub)
+    node = self.nodes["n149"]
+    node.directory.record_report(former, ("killed:1",), NOW)
+    later = NOW + HEARTBEAT_TIMEOUT_S + 0.1
+    self.exchange(later)
+    node.receive(self.nodes[former], later)  # it lives and reports nothing
+    self.assertTrue(node.members.is_alive(former, later))
+    self.assertEqual(sorted(node.list_addresses(later)), self.large)
+
   def test_node_that_hears_from_no_hub_names_what_it_knows(self):
     self.exchange(NOW)
     node = self.nodes["n149"]
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -56,6 +56,27 @@
         due_at = max(silent_at + CONTACT_S, time.monotonic() + APPLY_LIMIT_S)
         self.wait_served(f"/{name}/", due_at - time.monotonic())
 
+  def test_change_at_the_end_of_a_silent_outage_is_served_in_time(self):
+    """Guards against calls that began before the end and are never answered.
+
+    The store serves new connections again; the calls of the outage stay silent.
+    """
+    for number, delay_s in enumerate((-0.1, 0.05, 0.6)):
+      with self.subTest(written_after_end_s=delay_s):
+        name = f"dark-{number}"
+        self.site.store.mode = "silent"
+        time.sleep(3.3 + min(0.0, delay_s))
+        if delay_s < 0:
+          self.put_routes("first", name)
+          time.sleep(-delay_s)
+        self.site.store.mode = "up"
+        ended_at = time.monotonic()
+        if delay_s > 0:
+          time.sleep(delay_s)
+          self.put_routes("first", name)
+        due_at = max(ended_at + CONTACT_S, time.monotonic() + APPLY_LIMIT_S)
+        self.wait_served(f"/{name}/", due_at - time.monotonic())
+
 
 if __name__ == "__main__":
   unittest.main()
