Tests: keep all modules below the ports of outgoing connections

What was seen: a node of tests.test_soak found its port taken, as modules from the 58th on got ports that the kernel gives to outgoing connections.

Change: 300 ports for each module, so 76 modules fit; a test that would get higher ones fails with the reason.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,9 +20,11 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PORT_SLOT_VARIABLE = "BRONZEFOLD_TEST_SLOT"
 
-_FIRST_SLOT_PORT = 10_000
-_PORTS_PER_SLOT = 400
-_DEFAULT_SLOT = "50"
+_FIRST_SLOT_PORT = 9_900
+_PORTS_PER_SLOT = 300
+_FIRST_OUTGOING_PORT = 32_768  # of the kernel's usual range
+MAX_SLOTS = (_FIRST_OUTGOING_PORT - _FIRST_SLOT_PORT) // _PORTS_PER_SLOT
+_DEFAULT_SLOT = str(MAX_SLOTS - 1)
 _port_numbers = itertools.count()
 
 ROUTES = {
@@ -49,6 +51,7 @@
     AssertionError: The range has fewer free ports.
   """
   slot = int(os.environ.get(PORT_SLOT_VARIABLE, _DEFAULT_SLOT))
+  assert slot < MAX_SLOTS, f"slot {slot} has ports of outgoing connections"
   first = _FIRST_SLOT_PORT + slot * _PORTS_PER_SLOT
   found: list[int] = []
   for _ in range(_PORTS_PER_SLOT):
