Treat a sealed response with a status of no class as malformed

What callers would see: a closed connection without an answer, as the server has no status line for 600 to 999 and fails after the response has begun (LOST).

Change: such a response is malformed; the request may have run.

--- a/packages/gateway/src/bronzefold/gateway/sending.py
+++ b/packages/gateway/src/bronzefold/gateway/sending.py
@@ -36,6 +36,8 @@
 # that does not respond to them may be cut off.
 CRASH_CHECK_TIMEOUT_S = 0.03
 
+_MAX_STATUS = 599  # greater ones belong to no class (RFC 9110, section 15)
+
 _logger = logging.getLogger(__name__)
 
 
@@ -371,9 +373,9 @@
         attempt.upstream.is_replaced = True
       else:
         health.record_refusal(now)
-    elif not response.seal:
+    elif not response.seal or response.status > _MAX_STATUS:
       # Bytes that look like a response; the upstream vouches for none of them.
-      error = exceptions.MalformedReplyError("response has no seal")
+      error = exceptions.MalformedReplyError("no sealed response of HTTP")
       self._record_outcome(attempt, Outcome.UNKNOWN, error=error)
       health.record_failure(now)
     elif 200 <= response.status < 300:
--- a/tests/test_seals.py
+++ b/tests/test_seals.py
@@ -68,6 +68,7 @@
   "an empty seal": make_writer(200, **{SEAL: ""}),
   "a seal that would be two in a list": make_writer(200, **{SEAL: "a, b"}),
   "two seals": write_two_seals,
+  "a status of no class": make_writer(600, **SEALED),
   "an encoded body": make_writer(200, **SEALED, **{"Content-Encoding": "gzip"}),
 }
 
