Keep descriptors for other uses than callers' connections

What was seen: a node whose callers open more connections than it has descriptors lives, but isn't ready, can't read its settings and opens no link to a node that restarts (trial with 200 descriptors, 400 connections; no process ended, also not in ZeroMQ).

Cause: nothing bounds the connections of callers but the kernel.

--- a/packages/core/src/bronzefold/core/events.py
+++ b/packages/core/src/bronzefold/core/events.py
@@ -284,6 +284,12 @@
   logging.INFO,
   "Another node was asked to serve a request.",
 )
+CONNECTION_REFUSED = _register(
+  725,
+  "connection_refused",
+  logging.WARNING,
+  "A caller's connection was reset, as too many are open.",
+)
 RESPONSE_NOT_READ = _register(
   724,
   "response_not_read",
--- a/packages/gateway/src/bronzefold/gateway/application.py
+++ b/packages/gateway/src/bronzefold/gateway/application.py
@@ -98,10 +98,10 @@
     self._fleet = fleet
     self._protocol = protocol
     self._handlers = {
-      _read_port(node_settings.request_address): self._serve_request,
-      _read_port(node_settings.readiness_address): self._serve_readiness,
-      _read_port(node_settings.directory_address): self._serve_directory,
-      _read_port(node_settings.metrics_address): self._serve_metrics,
+      read_port(node_settings.request_address): self._serve_request,
+      read_port(node_settings.readiness_address): self._serve_readiness,
+      read_port(node_settings.directory_address): self._serve_directory,
+      read_port(node_settings.metrics_address): self._serve_metrics,
     }
 
   async def open_sockets(self, backlog: int) -> list[socket.socket]:
@@ -298,5 +298,6 @@
   scope.cancel()
 
 
-def _read_port(address: str) -> int:
+def read_port(address: str) -> int:
+  """Returns the port of an address, IP:port."""
   return int(address.rpartition(":")[2])
--- a/packages/gateway/src/bronzefold/gateway/connections.py
+++ b/packages/gateway/src/bronzefold/gateway/connections.py
@@ -32,11 +32,16 @@
 
 def make_connection_class(
   get_limits: Callable[[], model.CallerLimits],
+  request_port: int,
+  max_connections: int,
 ) -> type[asyncio.Protocol]:
   """Makes the connection class for uvicorn's HTTP server.
 
   Args:
     get_limits: Returns the limits in force.
+    request_port: Port on which callers connect; probes and lookups have others.
+    max_connections: Number of open connections from which on further ones on
+      that port are reset.
 
   Returns:
     The class, for uvicorn's option ``http``.
@@ -46,6 +51,10 @@
     def get_limits(self) -> model.CallerLimits:
       return get_limits()
 
+    def is_excessive(self) -> bool:
+      port = self.transport.get_extra_info("sockname")[1]
+      return port == request_port and len(self.connections) > max_connections
+
   return CallerConnection
 
 
@@ -92,9 +101,17 @@
     """Returns the limits in force."""
     raise NotImplementedError
 
+  def is_excessive(self) -> bool:
+    """Returns whether descriptors are kept for other uses than this one."""
+    raise NotImplementedError
+
   def connection_made(self, transport: asyncio.Transport) -> None:
     """Measures the round-trip time and starts the idle timer."""
     super().connection_made(transport)
+    if self.is_excessive():
+      events.CONNECTION_REFUSED.log(_logger, open=len(self.connections))
+      transport.abort()
+      return
     round_trip_s = read_round_trip(transport.get_extra_info("socket"))
     self.app_state = {**self.app_state, ROUND_TRIP_KEY: round_trip_s}
     self.timeout_keep_alive_task = self.loop.call_later(
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -52,6 +52,8 @@
 FIRST_SETTINGS_WAIT_S = 1.0  # a file of a few KB is written within milliseconds
 FIRST_SETTINGS_RETRY_DELAY_S = 0.1
 FLEET_NAME = "gateway"
+# The others are for upstreams, other nodes, the store, probes and files.
+CALLER_DESCRIPTORS_SHARE = 0.6
 BACKLOG = 512
 
 _EXIT_BAD_SETTINGS = 2
@@ -256,7 +258,11 @@
       self._application,
       log_config=None,
       access_log=False,
-      http=connections.make_connection_class(self._gateway.get_caller_limits),
+      http=connections.make_connection_class(
+        self._gateway.get_caller_limits,
+        application.read_port(self._settings.request_address),
+        int(CALLER_DESCRIPTORS_SHARE * self._settings.max_descriptors),
+      ),
       ws="none",
       lifespan="off",
       proxy_headers=False,
--- a/packages/gateway/src/bronzefold/gateway/settings.py
+++ b/packages/gateway/src/bronzefold/gateway/settings.py
@@ -37,6 +37,7 @@
       actual nodes are known.
     capacity: Number of processor cores that the node may use.
     memory_bytes: Memory that the process may use.
+    max_descriptors: Number of descriptors that the process may have open.
   """
 
   node: str
@@ -58,3 +59,4 @@
   assumed_nodes: int = 8
   capacity: float = 1.0
   memory_bytes: int = 300_000_000
+  max_descriptors: int = 4096
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -42,6 +43,8 @@
 retryWindowS = 10
 retrySlack = {slack}
 ttl_max_s = 5
+[limits]
+maxFds = {max_fds}
 [platform]
 address = "{store}"
 """
@@ -83,6 +86,7 @@
     ratio: float = 0.2,
     slack: float = 56,
     module: str = "bronzefold.platform",
+    max_fds: int = 4096,
   ) -> None:
     """Starts a node.
 
@@ -97,6 +101,7 @@
       ratio: Extra requests allowed for each request.
       slack: Extra requests allowed in addition to those, in each window.
       module: The program; ``tests.cut_node`` for one that can be cut off.
+      max_fds: Descriptors that it may have open, enforced below the default.
     """
     self.name = name
     self._module = module
@@ -127,6 +132,7 @@
       "ratio": ratio,
       "slack": slack,
       "store": site.store_address,
+      "max_fds": max_fds,
     }
     self._cut_path = pathlib.Path(self.temporary_directory.name) / "cut"
     self.write_settings()
@@ -147,8 +153,14 @@
           "BRONZEFOLD_METRICS_PORT": str(self.metrics_port),
           "BRONZEFOLD_TEST_CUT": str(self._cut_path),
         },
+        preexec_fn=self._limit_descriptors,
       )
 
+  def _limit_descriptors(self) -> None:
+    count = self._values["max_fds"]
+    if count < resource.getrlimit(resource.RLIMIT_NOFILE)[0]:
+      resource.setrlimit(resource.RLIMIT_NOFILE, (count, count))
+
   def set_cut(self, is_cut: bool) -> None:
     """Cuts all paths to upstreams, or restores them."""
     if is_cut:
