Refuse a request whose body does not fit into the memory by an error

The reading of a body returned what it had and left it to its caller to find out that this was a part. The listener for metrics is supervised.

--- a/packages/gateway/src/bronzefold/gateway/application.py
+++ b/packages/gateway/src/bronzefold/gateway/application.py
@@ -15,6 +15,7 @@
 
 from bronzefold.core import clock
 from bronzefold.core import events
+from bronzefold.core import exceptions
 from bronzefold.core import listeners
 from bronzefold.core import memory
 from bronzefold.core.clock import Seconds
@@ -199,10 +200,9 @@
   ) -> None:
     max_body_bytes = self._gateway.get_caller_limits().max_body_bytes
     allocation = self._gateway.memory.hold()  # until the request has ended
-    body = await _read_body(receive, max_body_bytes, allocation)
-    if body is None:
-      return
-    if not allocation.settle(len(body)):
+    try:
+      body = await _read_body(receive, max_body_bytes, allocation)
+    except exceptions.MemoryExhaustedError:
       close = ((b"connection", b"close"),)
       refusal = model.Response(
         503,
@@ -212,6 +212,8 @@
       )
       await self._refuse(send, refusal)
       return
+    if body is None:
+      return
     if len(body) > max_body_bytes:
       close = ((b"connection", b"close"),)
       refusal = model.Response(413, close, outcome="body_too_large")
@@ -276,8 +278,11 @@
     allocation: Memory of the body.
 
   Returns:
-    The body, cut off soon after ``max_bytes`` or once it does not fit into the
-    memory; None if the caller has disconnected.
+    The body, cut off soon after ``max_bytes``; None if the caller has
+    disconnected.
+
+  Raises:
+    MemoryExhaustedError: The body does not fit into the memory of all messages.
   """
   body = bytearray()
   while True:
@@ -285,8 +290,9 @@
     if message["type"] != "http.request":
       return None
     body += message.get("body", b"")
-    is_last = len(body) > max_bytes or not message.get("more_body", False)
-    if is_last or not allocation.try_resize(len(body)):
+    if not allocation.try_resize(len(body)):
+      raise exceptions.MemoryExhaustedError("request is refused")
+    if len(body) > max_bytes or not message.get("more_body", False):
       return bytes(body)
 
 
--- a/packages/gateway/src/bronzefold/gateway/process.py
+++ b/packages/gateway/src/bronzefold/gateway/process.py
@@ -179,7 +179,7 @@
     self._tasks.start_soon(supervision.supervise, self._writer.run)
     self._tasks.start_soon(supervision.supervise, self._poll_settings)
     self._tasks.start_soon(supervision.supervise, self._reach_checker.run)
-    self._tasks.start_soon(self._listen_for_metrics)
+    self._tasks.start_soon(supervision.supervise, self._listen_for_metrics)
     await self._server.serve(sockets=sockets)
     await self._finish_relayed()
     events.NODE_STOPPED.log(_logger, node=self._settings.node)
