--- a/tests/soak.py
+++ b/tests/soak.py
@@ -368,14 +368,22 @@
 
 @register_fault
 def stop_node(soak: Soak, target: int) -> Callable[[], None]:
-  """Stops a node gracefully, and starts it again at the end."""
+  """Stops a node gracefully, and starts it again at the end.
+
+  More signals follow, as those of a change of its settings do.
+  """
   name = soak.reserve_target(soak.nodes, target)
   if name is None:
     return _do_nothing
-  soak.fleet.processes[name].send_signal(signal.SIGTERM)
+  process = soak.fleet.processes[name]
+  for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+    process.send_signal(number)
+    time.sleep(0.01)
 
   def undo() -> None:
-    soak.fleet.processes[name].popen.wait(30)
+    code = process.popen.wait(30)
+    if code:
+      soak.problems.append(f"{name} ended its stop with {code}")
     soak.fleet.start_node(name)
     soak.targets_in_use.discard(name)
 
