--- a/review/rig.py
+++ b/review/rig.py
@@ -1026,11 +1026,18 @@
 
   async def work() -> int:
     rig = Rig(folder)
+    stop = asyncio.current_task().cancel
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
     try:
       async with rig:
         async with asyncio.timeout(110):
           return await case(rig)
-    except (CouldNotRunError, TimeoutError, OSError) as error:
+    except (
+      CouldNotRunError,
+      TimeoutError,
+      OSError,
+      asyncio.CancelledError,
+    ) as error:
       rig.record.say(f"could not run: {type(error).__name__} {error}")
       return COULD_NOT_RUN
 
